--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,44 @@
+//! The error type of the library.
+
+use std::io;
+
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::code::Code;
+
+/// Result of the library's functions.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A numbered code with what is known about this case.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{code} ({}): {detail}", code.number())]
+pub struct Error {
+    /// The numbered code.
+    #[error(not(source))]
+    pub code: Code,
+    /// What failed, without any key or secret.
+    #[error(not(source))]
+    pub detail: String,
+}
+
+impl Error {
+    /// An error with its detail.
+    pub fn new(code: Code, detail: impl Into<String>) -> Self {
+        Self {
+            code,
+            detail: detail.into(),
+        }
+    }
+
+    /// An input or output error at a place, such as a file or an address.
+    pub fn io(place: impl std::fmt::Display, error: &io::Error) -> Self {
+        Self::new(Code::Io, format!("{place}: {error}"))
+    }
+}
+
+impl From<Code> for Error {
+    fn from(code: Code) -> Self {
+        Self::new(code, code.text())
+    }
+}
--- /dev/null
+++ b/src/id.rs
@@ -0,0 +1,31 @@
+//! Type aliases for identifiers and counters that cross module borders.
+
+use smol_str::SmolStr;
+
+/// Name of an entry or control VM, unique in the fleet.
+pub type VmName = SmolStr;
+/// Name of a failure domain: VMs and upstreams that can fail together.
+pub type DomainName = SmolStr;
+/// Name of a service, for example `forecast`.
+pub type ServiceId = SmolStr;
+/// Name of one upstream of a service.
+pub type UpstreamId = SmolStr;
+/// Name of a customer.
+pub type CustomerId = SmolStr;
+/// Public part of a caller key.
+pub type KeyId = SmolStr;
+/// Name of a route.
+pub type RouteId = SmolStr;
+/// Identifies one operator change, so that a resent change is recognised.
+pub type ChangeId = SmolStr;
+/// Identifies one request: the caller's `idempotency-key`, or one made by the entry VM.
+pub type RequestId = SmolStr;
+
+/// Version of the configuration: the log index of the last applied change.
+pub type Version = u64;
+/// Distinguishes the runs of one VM; a later run has a larger number.
+pub type Incarnation = u64;
+/// Election term of the replicated log.
+pub type Term = u64;
+/// Position in the replicated log, counted from 1.
+pub type Index = u64;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! A proxy fleet for upstreams that fail gray.
+//!
+//! `docs/design.md` describes the modules, the state and the messages.
+
+pub mod code;
+pub mod error;
+pub mod id;
+pub mod kernel;
+pub mod rpc;
+pub mod secret;
+pub mod settings;
+pub mod stage;
+pub mod timer;
+pub mod view;
--- /dev/null
+++ b/src/rpc.rs
@@ -0,0 +1,257 @@
+//! JSON-RPC over HTTP POST `/rpc`: server glue around jsonrpsee and a client.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future;
+use async_std::net::TcpStream;
+use jsonrpsee::RpcModule;
+use jsonrpsee::types::ErrorObjectOwned;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tide::http::Method;
+use tide::http::Request;
+use tide::http::Response;
+use tide::http::StatusCode;
+use tide::http::Url;
+use tide::http::mime;
+
+use crate::code::Code;
+use crate::error::Error;
+use crate::error::Result;
+use crate::secret::Secret;
+
+/// Largest body of a call or of its answer, in bytes.
+pub const BODY_LIMIT: usize = 64 << 20;
+/// Idle connections older than this are not used again: the other side may have lost them silently.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+const IDLE_CONNECTIONS: usize = 4;
+const QUEUE_UNUSED: usize = 1;
+
+/// Answers JSON-RPC calls with the methods of a module.
+#[derive(Clone)]
+pub struct Server {
+    module: RpcModule<()>,
+    secret: Secret,
+}
+
+impl Server {
+    /// A server whose callers must present the secret.
+    pub fn new(module: RpcModule<()>, secret: Secret) -> Self {
+        Self { module, secret }
+    }
+
+    /// Names of all methods.
+    pub fn methods(&self) -> Vec<&'static str> {
+        self.module.method_names().collect()
+    }
+
+    /// Whether the `authorization` header value belongs to this server.
+    pub fn admits(&self, header: Option<&str>) -> bool {
+        self.secret.admits(header)
+    }
+
+    /// Answers the JSON text of one call.
+    pub async fn answer(&self, body: &str) -> String {
+        match self.module.raw_json_request(body, QUEUE_UNUSED).await {
+            Ok((answer, _)) => answer.to_string(),
+            Err(e) => {
+                let text = Value::String(e.to_string());
+                format!(r#"{{"jsonrpc":"2.0","id":null,"error":{{"code":-32700,"message":{text}}}}}"#)
+            }
+        }
+    }
+
+    /// Answers one HTTP request to `/rpc`.
+    pub async fn respond(&self, mut request: Request) -> Response {
+        let header = request.header("authorization").map(|h| h.as_str().to_owned());
+        if !self.admits(header.as_deref()) {
+            return refusal(Code::Unauthorized);
+        }
+        let Ok(body) = request.body_string().await else {
+            return refusal(Code::BadParams);
+        };
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(self.answer(&body).await);
+        response.set_content_type(mime::JSON);
+        response
+    }
+}
+
+fn refusal(code: Code) -> Response {
+    let mut response = Response::new(StatusCode::Unauthorized);
+    let error = serde_json::json!({"code": code.number(), "message": code.text()});
+    response.set_body(serde_json::json!({"jsonrpc": "2.0", "id": null, "error": error}).to_string());
+    response.set_content_type(mime::JSON);
+    response
+}
+
+impl From<Error> for ErrorObjectOwned {
+    fn from(error: Error) -> Self {
+        ErrorObjectOwned::owned(i32::from(error.code.number()), error.detail, None::<()>)
+    }
+}
+
+#[derive(Serialize)]
+struct Call<'a, P> {
+    jsonrpc: &'static str,
+    id: u64,
+    method: &'a str,
+    params: &'a P,
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    #[serde(default)]
+    result: Option<Value>,
+    #[serde(default)]
+    error: Option<Fault>,
+}
+
+#[derive(Deserialize)]
+struct Fault {
+    code: i64,
+    message: String,
+}
+
+struct Idle {
+    stream: TcpStream,
+    since: Instant,
+}
+
+/// Calls the methods of one process.
+///
+/// A connection carries one call at a time; after an error or a timeout it is closed.
+pub struct Client {
+    address: SocketAddr,
+    secret: Secret,
+    idle: Mutex<Vec<Idle>>,
+    calls: AtomicU64,
+}
+
+impl Client {
+    /// A client that connects when it is first used.
+    pub fn new(address: SocketAddr, secret: Secret) -> Self {
+        Self {
+            address,
+            secret,
+            idle: Mutex::default(),
+            calls: AtomicU64::new(1),
+        }
+    }
+
+    /// The address of the other process.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls a method and waits for its result at most for `limit`.
+    ///
+    /// # Errors
+    /// `Unreachable` if nothing was sent, `Timeout` or `BadAnswer` if the call may have run, and
+    /// the code of the other process.
+    pub async fn call<P, R>(&self, method: &str, params: &P, limit: Duration) -> Result<R>
+    where
+        P: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let place = || format!("{method} to {}", self.address);
+        let id = self.calls.fetch_add(1, Ordering::Relaxed);
+        let call = Call {
+            jsonrpc: "2.0",
+            id,
+            method,
+            params,
+        };
+        let body = serde_json::to_string(&call)
+            .map_err(|e| Error::new(Code::BadParams, format!("{}: {e}", place())))?;
+        let answer = future::timeout(limit, self.send(body))
+            .await
+            .map_err(|_| Error::new(Code::Timeout, format!("{}: no answer for {limit:?}", place())))?
+            .map_err(|e| Error::new(e.code, format!("{}: {}", place(), e.detail)))?;
+        let answer: Answer = serde_json::from_str(&answer)
+            .map_err(|e| Error::new(Code::BadAnswer, format!("{}: {e}", place())))?;
+        if let Some(fault) = answer.error {
+            return Err(fault_error(fault));
+        }
+        serde_json::from_value(answer.result.unwrap_or(Value::Null))
+            .map_err(|e| Error::new(Code::BadAnswer, format!("{}: {e}", place())))
+    }
+
+    async fn send(&self, body: String) -> Result<String> {
+        let stream = self.connect().await?;
+        let url = Url::parse(&format!("http://{}/rpc", self.address))
+            .map_err(|e| Error::new(Code::BadParams, e.to_string()))?;
+        let mut request = Request::new(Method::Post, url);
+        request.insert_header("authorization", self.secret.header());
+        request.set_content_type(mime::JSON);
+        request.set_body(body);
+        let mut response = async_h1::connect(stream.clone(), request)
+            .await
+            .map_err(|e| Error::new(Code::BadAnswer, e.to_string()))?;
+        let length = response.len();
+        let text = response
+            .body_string()
+            .await
+            .map_err(|e| Error::new(Code::BadAnswer, e.to_string()))?;
+        // async-h1 reports a body that ends before its content-length as complete.
+        if length.is_some_and(|l| l != text.len()) {
+            return Err(Error::new(Code::BadAnswer, "the answer was cut"));
+        }
+        self.keep(stream);
+        Ok(text)
+    }
+
+    async fn connect(&self) -> Result<TcpStream> {
+        loop {
+            let Some(idle) = self.idle.lock().unwrap().pop() else {
+                break;
+            };
+            if idle.since.elapsed() < IDLE_LIMIT && is_quiet(&idle.stream).await {
+                return Ok(idle.stream);
+            }
+        }
+        let stream = TcpStream::connect(self.address)
+            .await
+            .map_err(|e| Error::new(Code::Unreachable, e.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        Ok(stream)
+    }
+
+    fn keep(&self, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap();
+        if idle.len() < IDLE_CONNECTIONS {
+            idle.push(Idle {
+                stream,
+                since: Instant::now(),
+            });
+        }
+    }
+}
+
+/// Whether nothing can be read from an idle connection; a waiting byte or an end of file means that
+/// it must not be used again.
+pub(crate) async fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let peek = stream.peek(&mut byte);
+    futures::pin_mut!(peek);
+    futures::poll!(peek).is_pending()
+}
+
+fn fault_error(fault: Fault) -> Error {
+    let code = u16::try_from(fault.code).ok().and_then(Code::from_number);
+    match code {
+        Some(code) => Error::new(code, fault.message),
+        None if (-32_602..=-32_600).contains(&fault.code) => Error::new(Code::BadParams, fault.message),
+        None => Error::new(
+            Code::BadAnswer,
+            format!("error {}: {}", fault.code, fault.message),
+        ),
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,405 @@
+//! Settings files: JSON, checked in full before a socket is opened.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::Map;
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::code::Code;
+use crate::error::Error;
+use crate::error::Result;
+use crate::id::DomainName;
+use crate::id::VmName;
+
+/// Longest name of a VM, failure domain or other object, in bytes.
+pub const NAME_BYTES: usize = 64;
+
+/// One mistake in a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// Path of the field, such as `control[1].address`.
+    pub path: String,
+    /// What is wrong, with the value.
+    pub text: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.text)
+    }
+}
+
+/// Another VM and where its processes are reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Address for calls between processes.
+    pub address: SocketAddr,
+}
+
+/// Settings that every process has.
+#[derive(Debug, Clone)]
+pub struct Common {
+    /// Name of this VM.
+    pub vm: VmName,
+    /// Failure domain of this VM.
+    pub domain: DomainName,
+    /// File with the secret of the processes.
+    pub fleet_secret: PathBuf,
+    /// The control replicas.
+    pub control: Vec<Peer>,
+    /// Whether log lines are JSON instead of text.
+    pub log_json: bool,
+    /// Events kept in memory.
+    pub event_count: usize,
+}
+
+/// Settings of a control process.
+#[derive(Debug, Clone)]
+pub struct ControlSettings {
+    /// Settings that every process has.
+    pub common: Common,
+    /// Address for calls of operators and processes.
+    pub bind: SocketAddr,
+    /// Folder for journal and snapshots.
+    pub data: PathBuf,
+    /// File with the secret of operators.
+    pub operator_secret: PathBuf,
+    /// Time between heartbeats of the leader.
+    pub heartbeat: Duration,
+    /// Shortest time without a leader before an election; the longest is twice this.
+    pub election: Duration,
+}
+
+/// Settings of an entry process.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Settings that every process has.
+    pub common: Common,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address that callers are told, if it differs from `caller`.
+    pub advertise: SocketAddr,
+    /// Address for other processes and for announcements of upstreams.
+    pub peer: SocketAddr,
+    /// Largest request body, in bytes.
+    pub body_limit: usize,
+    /// Time in which a request head and body must arrive.
+    pub read_limit: Duration,
+    /// Open caller connections at most.
+    pub connections: usize,
+    /// How long callers may keep a list of addresses.
+    pub address_ttl: Duration,
+    /// Deadline of a request that states none and whose route states none.
+    pub request_limit: Duration,
+}
+
+/// Reads fields of one JSON object and collects every problem.
+struct Checker<'a> {
+    path: String,
+    map: Option<&'a Map<String, Value>>,
+    known: BTreeSet<&'static str>,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Checker<'a> {
+    fn new(path: &str, value: &'a Value) -> Self {
+        let mut checker = Self {
+            path: path.into(),
+            map: value.as_object(),
+            known: BTreeSet::new(),
+            problems: Vec::new(),
+        };
+        if checker.map.is_none() {
+            checker.problems.push(Problem {
+                path: path.into(),
+                text: format!("not an object: {value}"),
+            });
+        }
+        checker
+    }
+
+    fn at(&self, field: &str) -> String {
+        if self.path.is_empty() {
+            field.into()
+        } else {
+            format!("{}.{field}", self.path)
+        }
+    }
+
+    fn report(&mut self, field: &str, text: String) {
+        let path = self.at(field);
+        self.problems.push(Problem { path, text });
+    }
+
+    fn field(&mut self, name: &'static str) -> Option<&'a Value> {
+        self.known.insert(name);
+        self.map.and_then(|m| m.get(name))
+    }
+
+    fn required(&mut self, name: &'static str) -> Option<&'a Value> {
+        let found = self.field(name);
+        if found.is_none() && self.map.is_some() {
+            self.report(name, "missing field".into());
+        }
+        found
+    }
+
+    fn name(&mut self, field: &'static str) -> SmolStr {
+        let Some(value) = self.required(field) else {
+            return SmolStr::default();
+        };
+        match value.as_str().filter(|s| is_name(s)) {
+            Some(text) => text.into(),
+            None => {
+                let text = format!(
+                    "{value} is not a name of letters, digits, '-', '_' or '.' up to {NAME_BYTES} bytes"
+                );
+                self.report(field, text);
+                SmolStr::default()
+            }
+        }
+    }
+
+    fn path(&mut self, field: &'static str) -> PathBuf {
+        let Some(value) = self.required(field) else {
+            return PathBuf::new();
+        };
+        match value.as_str().filter(|s| !s.is_empty()) {
+            Some(text) => text.into(),
+            None => {
+                self.report(field, format!("{value} is not a path"));
+                PathBuf::new()
+            }
+        }
+    }
+
+    fn address(&mut self, field: &'static str, default: Option<SocketAddr>) -> SocketAddr {
+        let none = SocketAddr::from(([0, 0, 0, 0], 0));
+        let found = if default.is_some() {
+            self.field(field)
+        } else {
+            self.required(field)
+        };
+        let Some(value) = found else {
+            return default.unwrap_or(none);
+        };
+        match value
+            .as_str()
+            .and_then(|s| s.parse::<SocketAddr>().ok())
+            .filter(|a| a.port() != 0)
+        {
+            Some(address) => address,
+            None => {
+                self.report(
+                    field,
+                    format!("{value} is not an address IP:PORT with a port other than 0"),
+                );
+                none
+            }
+        }
+    }
+
+    fn number(&mut self, field: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let Some(value) = self.field(field) else {
+            return default;
+        };
+        match value.as_u64().filter(|n| range.contains(n)) {
+            Some(number) => number,
+            None => {
+                let text = format!(
+                    "{value} is not a whole number from {} to {}",
+                    range.start(),
+                    range.end()
+                );
+                self.report(field, text);
+                default
+            }
+        }
+    }
+
+    fn count(&mut self, field: &'static str, default: u64, range: RangeInclusive<u64>) -> usize {
+        usize::try_from(self.number(field, default, range)).unwrap_or(usize::MAX)
+    }
+
+    fn millis(&mut self, field: &'static str, default: u64, range: RangeInclusive<u64>) -> Duration {
+        Duration::from_millis(self.number(field, default, range))
+    }
+
+    fn flag(&mut self, field: &'static str) -> bool {
+        let Some(value) = self.field(field) else {
+            return false;
+        };
+        value.as_bool().unwrap_or_else(|| {
+            self.report(field, format!("{value} is not true or false"));
+            false
+        })
+    }
+
+    fn peers(&mut self, field: &'static str) -> Vec<Peer> {
+        let Some(value) = self.required(field) else {
+            return Vec::new();
+        };
+        let Some(items) = value.as_array().filter(|a| !a.is_empty()) else {
+            self.report(field, format!("{value} is not a list with at least one VM"));
+            return Vec::new();
+        };
+        let mut peers: Vec<Peer> = Vec::new();
+        for (n, item) in items.iter().enumerate() {
+            let mut checker = Checker::new(&self.at(&format!("{field}[{n}]")), item);
+            let peer = Peer {
+                vm: checker.name("vm"),
+                address: checker.address("address", None),
+            };
+            if peers.iter().any(|p| p.vm == peer.vm && !p.vm.is_empty()) {
+                checker.report("vm", format!("duplicate VM name \"{}\"", peer.vm));
+            }
+            if peers
+                .iter()
+                .any(|p| p.address == peer.address && p.address.port() != 0)
+            {
+                checker.report("address", format!("duplicate address \"{}\"", peer.address));
+            }
+            peers.push(peer);
+            self.problems.extend(checker.finish());
+        }
+        peers
+    }
+
+    fn common(&mut self) -> Common {
+        Common {
+            vm: self.name("vm"),
+            domain: self.name("domain"),
+            fleet_secret: self.path("fleet_secret"),
+            control: self.peers("control"),
+            log_json: self.flag("log_json"),
+            event_count: self.count("event_count", 10_000, 100..=1_000_000),
+        }
+    }
+
+    fn finish(mut self) -> Vec<Problem> {
+        let unknown: Vec<&String> = self
+            .map
+            .into_iter()
+            .flat_map(Map::keys)
+            .filter(|k| !self.known.contains(k.as_str()))
+            .collect();
+        for key in unknown {
+            let value = &self.map.unwrap()[key];
+            let problem = Problem {
+                path: self.at(key),
+                text: format!("unknown field with value {value}"),
+            };
+            self.problems.push(problem);
+        }
+        self.problems
+    }
+}
+
+/// Whether a text may name a VM, a failure domain, a customer or another object.
+pub fn is_name(text: &str) -> bool {
+    let is_char = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    !text.is_empty() && text.len() <= NAME_BYTES && text.chars().all(is_char)
+}
+
+/// Checks the settings of a control process.
+///
+/// # Errors
+/// Every problem of the text.
+pub fn check_control(text: &str) -> std::result::Result<ControlSettings, Vec<Problem>> {
+    let value = parse(text)?;
+    let mut c = Checker::new("", &value);
+    let settings = ControlSettings {
+        common: c.common(),
+        bind: c.address("bind", None),
+        data: c.path("data"),
+        operator_secret: c.path("operator_secret"),
+        heartbeat: c.millis("heartbeat_ms", 200, 10..=5_000),
+        election: c.millis("election_ms", 1_000, 50..=60_000),
+    };
+    if settings.election < settings.heartbeat * 3 {
+        let text = format!(
+            "{} is less than 3 times heartbeat_ms",
+            settings.election.as_millis()
+        );
+        c.report("election_ms", text);
+    }
+    let common = &settings.common;
+    if !common.control.is_empty() && !common.control.iter().any(|p| p.vm == common.vm) {
+        c.report(
+            "vm",
+            format!("\"{}\" is not in the list of control VMs", common.vm),
+        );
+    }
+    done(c, settings)
+}
+
+/// Checks the settings of an entry process.
+///
+/// # Errors
+/// Every problem of the text.
+pub fn check_entry(text: &str) -> std::result::Result<EntrySettings, Vec<Problem>> {
+    let value = parse(text)?;
+    let mut c = Checker::new("", &value);
+    let common = c.common();
+    let caller = c.address("caller", None);
+    let settings = EntrySettings {
+        common,
+        caller,
+        advertise: c.address("advertise", Some(caller)),
+        peer: c.address("peer", None),
+        body_limit: c.count("body_limit_bytes", 1 << 20, 1_024..=64 << 20),
+        read_limit: c.millis("read_limit_ms", 10_000, 100..=120_000),
+        connections: c.count("connections", 1_000, 10..=100_000),
+        address_ttl: c.millis("address_ttl_ms", 30_000, 100..=600_000),
+        request_limit: c.millis("request_limit_ms", 10_000, 100..=600_000),
+    };
+    if settings.caller == settings.peer && settings.caller.port() != 0 {
+        c.report(
+            "peer",
+            format!("\"{}\" is also the caller address", settings.peer),
+        );
+    }
+    done(c, settings)
+}
+
+fn parse(text: &str) -> std::result::Result<Value, Vec<Problem>> {
+    serde_json::from_str(text).map_err(|e| {
+        vec![Problem {
+            path: "$".into(),
+            text: format!("not valid JSON: {e}"),
+        }]
+    })
+}
+
+fn done<T>(checker: Checker<'_>, settings: T) -> std::result::Result<T, Vec<Problem>> {
+    let problems = checker.finish();
+    if problems.is_empty() {
+        Ok(settings)
+    } else {
+        Err(problems)
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// `Settings` with one line for each problem.
+pub fn open<T>(path: &Path, check: impl Fn(&str) -> std::result::Result<T, Vec<Problem>>) -> Result<T> {
+    let text = fs::read_to_string(path)
+        .map_err(|e| Error::new(Code::Settings, format!("settings file {}: {e}", path.display())))?;
+    check(&text).map_err(|problems| {
+        let lines: Vec<String> = problems.iter().map(|p| format!("\n  {p}")).collect();
+        let detail = format!("settings file {}:{}", path.display(), lines.concat());
+        Error::new(Code::Settings, detail)
+    })
+}
