--- /dev/null
+++ b/src/directory.rs
@@ -0,0 +1,61 @@
+//! Core: selects the entry addresses that a caller gets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use serde::Serialize;
+
+use crate::id::DomainName;
+use crate::member::LiveVm;
+
+/// Path of the directory on the caller port.
+pub const PATH: &str = "/.zinnia/addresses";
+/// Most addresses of one answer.
+pub const MOST: usize = 8;
+/// Addresses from the caller's failure domain; the rest keeps the caller served when it fails.
+const NEAR: usize = 5;
+
+/// Answer of the directory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Addresses {
+    /// Addresses, the preferred ones first.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the caller may keep them, in milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// Selects from the live VMs: up to 5 of the caller's failure domain first, then others.
+pub fn select(live: &[LiveVm], domain: Option<&str>, ttl: Duration, random: &mut impl Rng) -> Addresses {
+    let is_near = |vm: &&LiveVm| domain.is_some_and(|d| vm.place.domain == d);
+    let mut near: Vec<&LiveVm> = live.iter().filter(is_near).collect();
+    let mut far: Vec<&LiveVm> = live.iter().filter(|vm| !is_near(vm)).collect();
+    let near_count = near.len().min(NEAR.max(MOST.saturating_sub(far.len())));
+    let mut addresses = Vec::with_capacity(MOST);
+    while addresses.len() < near_count {
+        addresses.push(take(&mut near, random));
+    }
+    while addresses.len() < MOST && !far.is_empty() {
+        addresses.push(take(&mut far, random));
+    }
+    Addresses {
+        addresses,
+        ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+/// The failure domain that a query names.
+pub fn query_domain(query: Option<&str>) -> Option<DomainName> {
+    query?
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("domain="))
+        .map(DomainName::from)
+}
+
+/// Takes the less loaded of two random VMs.
+fn take(from: &mut Vec<&LiveVm>, random: &mut impl Rng) -> SocketAddr {
+    let a = random.random_range(0..from.len());
+    let b = random.random_range(0..from.len());
+    let chosen = if from[b].load < from[a].load { b } else { a };
+    from.swap_remove(chosen).place.caller
+}
