Record events with a logical clock and merge them into one time line

Operators ask why a request was refused or an upstream ejected; the clocks of the VMs differ, so wall-clock order can put an effect before its cause. Calls between processes therefore carry a hybrid logical clock. Vector clocks were ruled out: their size grows with the fleet. Result codes get their table, compared with the enum by a test.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,13 +2,18 @@
 //!
 //! `docs/design.md` describes the modules, the state and the messages.
 
+pub mod clock;
 pub mod code;
 pub mod error;
+pub mod event;
 pub mod id;
 pub mod kernel;
+pub mod logger;
+pub mod metric;
 pub mod rpc;
 pub mod secret;
 pub mod settings;
 pub mod stage;
+pub mod timeline;
 pub mod timer;
 pub mod view;
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -22,6 +22,7 @@
 use tide::http::Url;
 use tide::http::mime;
 
+use crate::clock;
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
@@ -33,6 +34,8 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
 const IDLE_CONNECTIONS: usize = 4;
 const QUEUE_UNUSED: usize = 1;
+/// Header that carries the logical clock of the sender, in hexadecimal.
+const CLOCK_HEADER: &str = "zinnia-clock";
 
 /// Answers JSON-RPC calls with the methods of a module.
 #[derive(Clone)]
@@ -74,16 +77,24 @@
         if !self.admits(header.as_deref()) {
             return refusal(Code::Unauthorized);
         }
+        observe_clock(request.header(CLOCK_HEADER).map(|h| h.as_str()));
         let Ok(body) = request.body_string().await else {
             return refusal(Code::BadParams);
         };
         let mut response = Response::new(StatusCode::Ok);
         response.set_body(self.answer(&body).await);
         response.set_content_type(mime::JSON);
+        response.insert_header(CLOCK_HEADER, format!("{:x}", clock::stamp()));
         response
     }
 }
 
+fn observe_clock(header: Option<&str>) {
+    if let Some(stamp) = header.and_then(|h| u64::from_str_radix(h, 16).ok()) {
+        clock::observe(stamp);
+    }
+}
+
 fn refusal(code: Code) -> Response {
     let mut response = Response::new(StatusCode::Unauthorized);
     let error = serde_json::json!({"code": code.number(), "message": code.text()});
@@ -190,11 +201,13 @@
             .map_err(|e| Error::new(Code::BadParams, e.to_string()))?;
         let mut request = Request::new(Method::Post, url);
         request.insert_header("authorization", self.secret.header());
+        request.insert_header(CLOCK_HEADER, format!("{:x}", clock::stamp()));
         request.set_content_type(mime::JSON);
         request.set_body(body);
         let mut response = async_h1::connect(stream.clone(), request)
             .await
             .map_err(|e| Error::new(Code::BadAnswer, e.to_string()))?;
+        observe_clock(response.header(CLOCK_HEADER).map(|h| h.as_str()));
         let length = response.len();
         let text = response
             .body_string()
--- /dev/null
+++ b/tests/codes.rs
@@ -0,0 +1,34 @@
+//! Guards against a result code that is missing from the operators' table, or listed with another meaning.
+
+use std::fs;
+
+use strum::IntoEnumIterator;
+
+use zinnialoom::code::Code;
+
+fn row(code: Code) -> String {
+    let (number, run, status) = (code.number(), code.run(), code.status());
+    if number >= 300 {
+        return format!("| {number} | {code} | - | - | {} |", code.text());
+    }
+    format!("| {number} | {code} | {run} | {status} | {} |", code.text())
+}
+
+#[test]
+fn the_table_in_the_docs_is_the_enum() {
+    let text = fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/docs/CODES.md")).unwrap();
+    let found: Vec<&str> = text
+        .lines()
+        .filter(|l| l.starts_with("| ") && !l.starts_with("| code"))
+        .collect();
+    let expected: Vec<String> = Code::iter().map(row).collect();
+    assert_eq!(found, expected, "expected table:\n{}", expected.join("\n"));
+}
+
+#[test]
+fn only_codes_below_200_promise_not_run() {
+    for code in Code::iter() {
+        let is_refusal = (101..200).contains(&code.number());
+        assert_eq!(code.run() == zinnialoom::code::Run::No, is_refusal, "{code}");
+    }
+}
