--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,18 +3,24 @@
 //! `docs/design.md` describes the modules, the state and the messages.
 
 pub mod balance;
+pub mod clock;
 pub mod code;
 pub mod detect;
 pub mod directory;
 pub mod error;
+pub mod event;
+pub mod fault;
 pub mod freshness;
 pub mod id;
 pub mod kernel;
+pub mod logger;
 pub mod member;
+pub mod metric;
 pub mod permit;
 pub mod rpc;
 pub mod secret;
 pub mod settings;
 pub mod stage;
+pub mod timeline;
 pub mod timer;
 pub mod view;
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -22,9 +22,11 @@
 use tide::http::Url;
 use tide::http::mime;
 
+use crate::clock;
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::fault;
 use crate::secret::Secret;
 
 /// Largest body of a call or of its answer, in bytes.
@@ -33,6 +35,8 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
 const IDLE_CONNECTIONS: usize = 4;
 const QUEUE_UNUSED: usize = 1;
+/// Header that carries the logical clock of the sender, in hexadecimal.
+const CLOCK_HEADER: &str = "zinnia-clock";
 
 /// Answers JSON-RPC calls with the methods of a module.
 #[derive(Clone)]
@@ -74,16 +78,24 @@
         if !self.admits(header.as_deref()) {
             return refusal(Code::Unauthorized);
         }
+        observe_clock(request.header(CLOCK_HEADER).map(|h| h.as_str()));
         let Ok(body) = request.body_string().await else {
             return refusal(Code::BadParams);
         };
         let mut response = Response::new(StatusCode::Ok);
         response.set_body(self.answer(&body).await);
         response.set_content_type(mime::JSON);
+        response.insert_header(CLOCK_HEADER, format!("{:x}", clock::stamp()));
         response
     }
 }
 
+fn observe_clock(header: Option<&str>) {
+    if let Some(stamp) = header.and_then(|h| u64::from_str_radix(h, 16).ok()) {
+        clock::observe(stamp);
+    }
+}
+
 fn refusal(code: Code) -> Response {
     let mut response = Response::new(StatusCode::Unauthorized);
     let error = serde_json::json!({"code": code.number(), "message": code.text()});
@@ -171,7 +183,7 @@
         };
         let body = serde_json::to_string(&call)
             .map_err(|e| Error::new(Code::BadParams, format!("{}: {e}", place())))?;
-        let answer = future::timeout(limit, self.send(body))
+        let answer = future::timeout(limit, self.exchange(body))
             .await
             .map_err(|_| Error::new(Code::Timeout, format!("{}: no answer for {limit:?}", place())))?
             .map_err(|e| Error::new(e.code, format!("{}: {}", place(), e.detail)))?;
@@ -184,17 +196,30 @@
             .map_err(|e| Error::new(Code::BadAnswer, format!("{}: {e}", place())))
     }
 
+    async fn exchange(&self, body: String) -> Result<String> {
+        if fault::is_cut(fault::Direction::Out, self.address) {
+            return std::future::pending().await;
+        }
+        let answer = self.send(body).await;
+        if fault::is_cut(fault::Direction::In, self.address) {
+            return std::future::pending().await;
+        }
+        answer
+    }
+
     async fn send(&self, body: String) -> Result<String> {
         let stream = self.connect().await?;
         let url = Url::parse(&format!("http://{}/rpc", self.address))
             .map_err(|e| Error::new(Code::BadParams, e.to_string()))?;
         let mut request = Request::new(Method::Post, url);
         request.insert_header("authorization", self.secret.header());
+        request.insert_header(CLOCK_HEADER, format!("{:x}", clock::stamp()));
         request.set_content_type(mime::JSON);
         request.set_body(body);
         let mut response = async_h1::connect(stream.clone(), request)
             .await
             .map_err(|e| Error::new(Code::BadAnswer, e.to_string()))?;
+        observe_clock(response.header(CLOCK_HEADER).map(|h| h.as_str()));
         let length = response.len();
         let text = response
             .body_string()
