--- a/src/balance.rs
+++ b/src/balance.rs
@@ -45,7 +45,7 @@
 /// Part of an upstream's connections that all VMs together use.
 const CONNECTION_SHARE: f64 = 0.75;
 /// Limits of the wait for the first byte on a reused connection.
-const REUSE_LEAST: Duration = Duration::from_millis(250);
+pub(crate) const REUSE_LEAST: Duration = Duration::from_millis(250);
 const REUSE_FACTOR: u32 = 4;
 
 struct Running {
@@ -67,6 +67,18 @@
     ramp: f64,
     ramp_changed: Instant,
     ejected: bool,
+    suspect: bool,
+}
+
+/// A change in how a VM uses an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// The VM's own evidence shifted traffic away.
+    Shifted,
+    /// The arbiter permitted to eject it.
+    Ejected,
+    /// It gets a small share again.
+    Reinstated,
 }
 
 /// Upstreams of one service as one VM uses them.
@@ -119,7 +131,8 @@
     }
 
     /// Advances shares, looks for overdue requests and applies ejections.
-    pub fn tick(&mut self, now: Instant) {
+    pub fn tick(&mut self, now: Instant) -> Vec<(UpstreamId, Turn)> {
+        let mut turns = Vec::new();
         self.count_overdue(now);
         let names: Vec<UpstreamId> = self.entries.keys().cloned().collect();
         for name in names {
@@ -129,11 +142,13 @@
                 if is_ejected && !entry.ejected {
                     self.detector.clear(&name);
                 }
-                entry.tick(now, is_suspect, is_ejected);
+                let turn = entry.tick(now, is_suspect, is_ejected);
+                turns.extend(turn.map(|t| (name, t)));
             }
         }
         let is_kept = |e: &Entry| !e.running.is_empty() || e.is_heard(now) || e.ejected;
         self.entries.retain(|_, e| is_kept(e));
+        turns
     }
 
     /// Selects an upstream: the less loaded of one in the own failure domain and one anywhere.
@@ -206,6 +221,11 @@
         true
     }
 
+    /// Requests in flight at all upstreams of the service.
+    pub fn in_flight(&self) -> usize {
+        self.entries.values().map(|e| e.running.len()).sum()
+    }
+
     /// Longest wait for the first byte on a reused connection.
     pub fn reuse_limit(&self, route: &RouteId) -> Duration {
         let latency = self.detector.latency(route).unwrap_or_default();
@@ -299,6 +319,7 @@
             ramp: if is_cold { SMALL_SHARE } else { 1.0 },
             ramp_changed: now,
             ejected: false,
+            suspect: false,
         }
     }
 
@@ -319,8 +340,15 @@
         self.ramp_changed = now;
     }
 
-    fn tick(&mut self, now: Instant, is_suspect: bool, is_ejected: bool) {
+    fn tick(&mut self, now: Instant, is_suspect: bool, is_ejected: bool) -> Option<Turn> {
+        let turn = match (self.ejected, is_ejected) {
+            (false, true) => Some(Turn::Ejected),
+            (true, false) => Some(Turn::Reinstated),
+            _ if is_suspect && !self.suspect && !is_ejected => Some(Turn::Shifted),
+            _ => None,
+        };
         self.ejected = is_ejected;
+        self.suspect = is_suspect;
         if is_suspect || is_ejected {
             self.shrink(now);
         } else if self.ramp < 1.0 && now.saturating_duration_since(self.ramp_changed) >= RAMP_STEP {
@@ -331,6 +359,7 @@
             self.share = (self.share + SHED_GAIN).min(1.0);
             self.share_changed = now;
         }
+        turn
     }
 
     fn shed(&mut self, now: Instant) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/design.md` describes the modules, the state and the messages.
 
 pub mod balance;
+pub mod clients;
 pub mod clock;
 pub mod code;
 pub mod detect;
@@ -11,7 +12,9 @@
 pub mod event;
 pub mod fault;
 pub mod freshness;
+pub mod gossip;
 pub mod id;
+pub mod job;
 pub mod kernel;
 pub mod logger;
 pub mod member;
@@ -23,4 +26,5 @@
 pub mod stage;
 pub mod timeline;
 pub mod timer;
+pub mod upstreams;
 pub mod view;
