--- /dev/null
+++ b/examples/detect_bench/main.rs
@@ -0,0 +1,102 @@
+//! Detection time and false ejections by kind of fault, in virtual time, against two baselines.
+
+mod policy;
+mod world;
+
+use policy::Rule;
+use world::Fault;
+use world::FaultKind;
+use world::Micros;
+use world::SECOND;
+use world::Shape;
+use world::World;
+
+const FAULT_START: Micros = 60 * SECOND;
+const SEEDS: u64 = 5;
+
+fn main() {
+    let seeds: Vec<u64> = (1..=count("SEEDS", SEEDS)).collect();
+    println!("48 VMs, 3 failure domains, 20 upstreams with 6 slots, floor 90; seeds {seeds:?}");
+    for rate in [100.0, 1000.0] {
+        for rule in [Rule::Fleet, Rule::RoundRobin, Rule::Consecutive] {
+            quiet(rule, rate, &seeds);
+        }
+        for kind in kinds() {
+            for rule in [Rule::Fleet, Rule::Consecutive] {
+                fault(rule, rate, kind, &seeds);
+            }
+        }
+    }
+}
+
+fn count(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(default)
+}
+
+fn kinds() -> [(&'static str, FaultKind); 7] {
+    [
+        ("x3 slow", FaultKind::Slow(3.0)),
+        ("x10 slow", FaultKind::Slow(10.0)),
+        ("errors 50 %", FaultKind::Errors(0.5)),
+        ("stalls 50 %", FaultKind::Stalls(0.5)),
+        ("probe-healthy but failing", FaultKind::Errors(1.0)),
+        ("flapping", FaultKind::Flapping),
+        ("one-way cut", FaultKind::CutOut),
+    ]
+}
+
+fn quiet(rule: Rule, rate: f64, seeds: &[u64]) {
+    let (mut p99, mut overruns, mut requests, mut ejections) = (Vec::new(), 0, 0, 0);
+    for seed in seeds {
+        let shape = Shape {
+            rule,
+            rate,
+            length: 300 * SECOND,
+            ..Shape::default()
+        };
+        let mut report = World::new(shape, *seed).run();
+        p99.push(report.p99());
+        overruns += report.overruns;
+        requests += report.latencies.len();
+        ejections += report.ejections.len();
+    }
+    println!(
+        "{rate:>5} req/s  fault-free                 {rule:<12} p99 ms {p99:.0?}, slots overrun {overruns} of {requests} \
+         requests, false ejections {ejections}"
+    );
+}
+
+fn fault(rule: Rule, rate: f64, (name, kind): (&str, FaultKind), seeds: &[u64]) {
+    let (mut times, mut missed, mut wrong, mut failures) = (Vec::new(), 0, 0, 0);
+    for seed in seeds {
+        let upstream = *seed as usize * 7 % 20;
+        let fault = Fault {
+            kind,
+            upstream,
+            start: FAULT_START,
+            end: u64::MAX,
+        };
+        let shape = Shape {
+            rule,
+            rate,
+            length: FAULT_START + 60 * SECOND,
+            faults: vec![fault],
+            ..Shape::default()
+        };
+        let report = World::new(shape, *seed).run();
+        let is_right = |e: &&(Micros, usize)| e.1 == upstream && e.0 >= FAULT_START;
+        match report.ejections.iter().find(is_right) {
+            Some((time, _)) => times.push((time - FAULT_START) as f64 / SECOND as f64),
+            None => missed += 1,
+        }
+        wrong += report.ejections.iter().filter(|e| !is_right(e)).count();
+        failures += report.failures;
+    }
+    println!(
+        "{rate:>5} req/s  {name:<26} {rule:<12} detected after s {times:.1?}, not detected {missed}, false ejections \
+         {wrong}, failed requests {failures}"
+    );
+}
