Add the catalog, the operator methods, zinnia-control and zinnia-ctl

The rest of the path needs a configuration that operators can change while traffic flows. This first version works end to end on one replica, on a single-copy stand-in with the interface of the replicated log.

catalog.rs is a pure state machine. A change is planned as a list of record edits; control and entry VMs apply the same edits, so that an entry VM does not repeat the checks. Sending the changes themselves to entry VMs was ruled out: they would need change ids and the outcome of each check.

A new key's digest is not part of the content that a resent change must repeat, since each call makes its own key; the first one in the log counts.

Operators and processes have separate method tables, selected by the secret of the call. One table for both was ruled out, since the fleet secret is on all VMs.

Tried by hand: each ctl command, a resent key.issue, a conflict, wrong types, unknown fields, the other side's secret, SIGTERM.

--- /dev/null
+++ b/src/bin/zinnia-control/app.rs
@@ -0,0 +1,118 @@
+//! Command line, set-up and stop of the control process.
+
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use argh::FromArgs;
+use async_std::task;
+use futures::StreamExt;
+use log::LevelFilter;
+use log::info;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook_async_std::Signals;
+
+use zinnialoom::code::Code;
+use zinnialoom::control;
+use zinnialoom::control::Control;
+use zinnialoom::error::Error;
+use zinnialoom::error::Result;
+use zinnialoom::settings;
+use zinnialoom::settings::ControlSettings;
+
+/// Replica of the configuration: answers operators (zinnia-ctl) and entry VMs (zinnia-entry).
+#[derive(FromArgs)]
+#[argh(
+    example = "{command_name} --settings /etc/zinnia/control.json",
+    error_code(1, "a call between replicas failed"),
+    error_code(2, "the command line or the settings are not valid"),
+    error_code(3, "a file cannot be read or written, or an address cannot be bound"),
+    error_code(4, "a file on disk is damaged; the message names file and offset")
+)]
+struct Flags {
+    /// settings file, JSON
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// check the settings and the secret files, then exit
+    #[argh(switch)]
+    check: bool,
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+/// Runs the process and returns its exit code.
+pub fn run() -> i32 {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (name, rest) = words.split_first().unwrap_or((&"zinnia-control", &[]));
+    let flags = match Flags::from_args(&[name], rest) {
+        Ok(flags) => flags,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return Code::Ok.exit();
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return Code::BadParams.exit();
+        }
+    };
+    match task::block_on(execute(&flags)) {
+        Ok(()) => Code::Ok.exit(),
+        Err(e) => {
+            eprintln!("zinnia-control: {e}");
+            e.code.exit()
+        }
+    }
+}
+
+async fn execute(flags: &Flags) -> Result<()> {
+    if flags.version {
+        println!("zinnia-control {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let path = flags
+        .settings
+        .as_ref()
+        .ok_or_else(|| Error::new(Code::BadParams, "--settings FILE is missing"))?;
+    let settings = settings::open(path, settings::check_control)?;
+    control::secrets(&settings)?;
+    if flags.check {
+        println!("{}: valid", path.display());
+        return Ok(());
+    }
+    start_log()?;
+    serve(&settings).await
+}
+
+async fn serve(settings: &ControlSettings) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| Error::io("signals", &e))?;
+    let control = Control::open(settings).await?;
+    info!(
+        "control VM {} answers calls on {}",
+        settings.common.vm,
+        control.address()
+    );
+    let signal = signals.next().await.unwrap_or_default();
+    info!("stopping on signal {signal}");
+    control.stop().await;
+    info!("stopped");
+    Ok(())
+}
+
+fn start_log() -> Result<()> {
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+            let seconds = now.unwrap_or(Duration::ZERO).as_secs_f64();
+            out.finish(format_args!("{seconds:.3} {} {message}", record.level()))
+        })
+        .level(LevelFilter::Warn)
+        .level_for("zinnialoom", LevelFilter::Info)
+        .level_for("zinnia_control", LevelFilter::Info)
+        .chain(io::stderr())
+        .apply()
+        .map_err(|e| Error::new(Code::Kernel, format!("log: {e}")))
+}
--- /dev/null
+++ b/src/catalog.rs
@@ -0,0 +1,187 @@
+//! Core: the configuration as a state machine of the replicated log.
+//!
+//! Each accepted change gives the configuration the version of its log index. A refused change
+//! leaves the version as it is.
+
+pub mod apply;
+pub mod change;
+pub mod delta;
+mod memo;
+mod snapshot;
+pub mod witness;
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+
+use crate::catalog::apply::Plan;
+use crate::catalog::change::Change;
+use crate::catalog::change::Fault;
+use crate::catalog::change::Outcome;
+use crate::catalog::delta::Delta;
+use crate::catalog::delta::Edit;
+use crate::catalog::memo::Memos;
+use crate::code::Code;
+use crate::error::Result;
+use crate::id::Index;
+use crate::id::KeyId;
+use crate::id::RouteId;
+use crate::id::Version;
+use crate::replication::Machine;
+use crate::view::Key;
+use crate::view::Route;
+use crate::view::View;
+
+/// Changes kept for entry VMs that are behind; one that is further behind gets a snapshot.
+pub const TAIL_CHANGES: usize = 2_000;
+/// Longest change id, in bytes.
+pub const CHANGE_ID_BYTES: usize = 128;
+
+/// Customers, keys, routes, services and entry VMs, with the outcomes of recent changes.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Catalog {
+    view: Arc<View>,
+    /// Digests by key id; the view finds keys by digest only.
+    keys: HashMap<KeyId, SmolStr>,
+    memos: Memos,
+    tail: VecDeque<Delta>,
+    /// Changes after this version are in the tail.
+    floor: Version,
+    witness_version: Version,
+}
+
+impl Catalog {
+    /// The empty configuration, version 0.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The present configuration.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view)
+    }
+
+    /// The changes after a version, or `None` if they are not kept and a snapshot is needed.
+    pub fn changes(&self, after: Version) -> Option<Vec<Delta>> {
+        if after < self.floor {
+            return None;
+        }
+        let start = self.tail.partition_point(|d| d.version <= after);
+        Some(self.tail.range(start..).cloned().collect())
+    }
+
+    /// The key with this id.
+    pub fn key(&self, id: &KeyId) -> Option<&Key> {
+        self.keys.get(id).and_then(|d| self.view.keys.get(d))
+    }
+
+    /// The route with this id.
+    pub fn route(&self, id: &RouteId) -> Option<&Route> {
+        self.view.routes.iter().find(|r| r.id == *id)
+    }
+
+    /// Version of the last change of the witness group.
+    pub fn witness_version(&self) -> Version {
+        self.witness_version
+    }
+
+    /// Applies the change at a log index, or returns the first outcome if its id was applied before.
+    pub fn apply_change(&mut self, index: Index, change: &Change) -> Outcome {
+        if change.op.is_internal() {
+            return self.execute(index, change);
+        }
+        if change.id.is_empty() || change.id.len() > CHANGE_ID_BYTES {
+            let detail = format!("the change id has {} bytes", change.id.len());
+            return self.refuse(Fault::field("change", detail));
+        }
+        let fingerprint = change.fingerprint();
+        if let Some(memo) = self.memos.find(&change.id) {
+            if memo.fingerprint != fingerprint {
+                let detail = format!("change id {:?} was used with other content", change.id);
+                return self.refuse(Fault::new(Code::ChangeIdReused, detail));
+            }
+            return Outcome {
+                repeated: true,
+                ..memo.outcome.clone()
+            };
+        }
+        let outcome = self.execute(index, change);
+        self.memos.put(change.id.clone(), fingerprint, outcome.clone());
+        outcome
+    }
+
+    fn refuse(&self, fault: Fault) -> Outcome {
+        Outcome {
+            version: self.view.version,
+            security: false,
+            repeated: false,
+            fault: Some(fault),
+        }
+    }
+
+    fn execute(&mut self, index: Index, change: &Change) -> Outcome {
+        let plan = match self.plan(index, change) {
+            Ok(plan) => plan,
+            Err(fault) => return self.refuse(fault),
+        };
+        let security = plan.security;
+        if !plan.edits.is_empty() {
+            self.commit(index, plan);
+        }
+        Outcome {
+            version: self.view.version,
+            security,
+            repeated: false,
+            fault: None,
+        }
+    }
+
+    fn commit(&mut self, index: Index, plan: Plan) {
+        let mut delta = Delta {
+            version: index,
+            edits: plan.edits,
+        };
+        // Copies the view only while a reader holds the previous one.
+        delta.apply(Arc::make_mut(&mut self.view));
+        let regrouped = plan.regroup.then(|| self.regroup()).flatten();
+        if let Some(witnesses) = regrouped {
+            Arc::make_mut(&mut self.view).witnesses = witnesses.clone();
+            delta.edits.push(Edit::Witnesses(witnesses));
+        }
+        for edit in &delta.edits {
+            match edit {
+                Edit::Key(key) => {
+                    self.keys.insert(key.id.clone(), key.digest.clone());
+                }
+                Edit::KeyGone(digest) => self.keys.retain(|_, d| d != digest),
+                Edit::Witnesses(_) => self.witness_version = index,
+                _ => {}
+            }
+        }
+        self.tail.push_back(delta);
+        while self.tail.len() > TAIL_CHANGES {
+            self.floor = self.tail.pop_front().map_or(self.floor, |d| d.version);
+        }
+    }
+}
+
+impl Machine for Catalog {
+    fn apply(&mut self, index: Index, data: &[u8]) -> Vec<u8> {
+        let outcome = match serde_json::from_slice::<Change>(data) {
+            Ok(change) => self.apply_change(index, &change),
+            Err(e) => self.refuse(Fault::new(Code::BadParams, format!("change: {e}"))),
+        };
+        serde_json::to_vec(&outcome).unwrap_or_default()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        snapshot::encode(self)
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<()> {
+        *self = snapshot::decode(data)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/catalog/apply.rs
@@ -0,0 +1,404 @@
+//! Checks of a change against the present records.
+
+use smol_str::SmolStr;
+
+use crate::catalog::Catalog;
+use crate::catalog::change::Change;
+use crate::catalog::change::Fault;
+use crate::catalog::change::JoinSecret;
+use crate::catalog::change::Op;
+use crate::catalog::change::RouteSpec;
+use crate::catalog::change::VmSpec;
+use crate::catalog::delta::Edit;
+use crate::catalog::witness;
+use crate::code::Code;
+use crate::id::CustomerId;
+use crate::id::Index;
+use crate::id::KeyId;
+use crate::id::RouteId;
+use crate::id::ServiceId;
+use crate::id::Version;
+use crate::id::VmName;
+use crate::settings::NAME_BYTES;
+use crate::settings::is_name;
+use crate::view::Customer;
+use crate::view::Key;
+use crate::view::Limit;
+use crate::view::Route;
+use crate::view::ServiceRecord;
+use crate::view::Vm;
+use crate::view::Witnesses;
+
+/// Largest rate in requests per second and largest burst in requests.
+pub const LIMIT_MAX: u32 = 1_000_000;
+/// Largest capacity floor, in slots.
+pub const FLOOR_MAX: u32 = 1_000_000;
+/// Longest path prefix, in bytes.
+pub const PREFIX_BYTES: usize = 256;
+/// Longest deadline of a route, in milliseconds.
+pub const ROUTE_LIMIT_MS: u64 = 600_000;
+/// Paths of the system itself; a route below them would never be reached.
+const RESERVED_PREFIX: &str = "/.zinnia";
+const DIGEST_CHARS: usize = 64;
+
+/// The records that a permitted change touches.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    pub edits: Vec<Edit>,
+    pub security: bool,
+    /// Whether the witness group may have to change afterwards.
+    pub regroup: bool,
+}
+
+impl Plan {
+    fn of(edit: Edit) -> Self {
+        Self {
+            edits: vec![edit],
+            ..Self::default()
+        }
+    }
+}
+
+type Planned = Result<Plan, Fault>;
+
+fn check_name(field: &str, text: &str) -> Result<(), Fault> {
+    if is_name(text) {
+        return Ok(());
+    }
+    let detail =
+        format!("{text:?} is not a name of letters, digits, '-', '_' or '.' up to {NAME_BYTES} bytes");
+    Err(Fault::field(field, detail))
+}
+
+fn check_range(field: &str, number: u64, low: u64, high: u64) -> Result<(), Fault> {
+    if (low..=high).contains(&number) {
+        return Ok(());
+    }
+    let detail = format!("{number} is not a number from {low} to {high}");
+    Err(Fault::field(field, detail))
+}
+
+fn check_digest(field: &str, text: &str) -> Result<(), Fault> {
+    let is_digit = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+    if text.len() == DIGEST_CHARS && text.chars().all(is_digit) {
+        return Ok(());
+    }
+    let detail = format!("not {DIGEST_CHARS} lower-case hexadecimal digits");
+    Err(Fault::field(field, detail))
+}
+
+fn check_prefix(prefix: &str) -> Result<(), Fault> {
+    let detail = if prefix.len() > PREFIX_BYTES {
+        "longer than 256 bytes"
+    } else if !prefix.starts_with('/') {
+        "does not start with '/'"
+    } else if !prefix.chars().all(|c| c.is_ascii_graphic()) || prefix.contains(['?', '#', '%', '\\']) {
+        "holds a character other than the visible ASCII ones without '?', '#', '%' and '\\'"
+    } else if prefix.len() > 1 && prefix.ends_with('/') {
+        "ends with '/'"
+    } else if prefix.split('/').skip(1).any(|s| matches!(s, "." | "..")) || prefix.contains("//") {
+        "has an empty segment, '.' or '..'"
+    } else if prefix.starts_with(RESERVED_PREFIX) {
+        "starts with the reserved '/.zinnia'"
+    } else {
+        return Ok(());
+    };
+    Err(Fault::field("prefix", format!("{prefix:?} {detail}")))
+}
+
+fn check_expect(expect: Version, current: Version) -> Result<(), Fault> {
+    if expect == current {
+        Ok(())
+    } else {
+        Err(Fault::conflict(expect, current))
+    }
+}
+
+fn missing(kind: &str, id: &str) -> Fault {
+    Fault::new(Code::NotFound, format!("{kind} \"{id}\" does not exist"))
+}
+
+impl Catalog {
+    /// What the change does at this log index, or why it is refused.
+    pub(super) fn plan(&self, index: Index, change: &Change) -> Planned {
+        let expect = change.expect;
+        match &change.op {
+            Op::CustomerSet { id, limit } => self.set_customer(index, expect, id, *limit),
+            Op::CustomerRemove { id, with_keys } => self.remove_customer(expect, id, *with_keys),
+            Op::KeyIssue { id, customer, digest } => self.issue_key(index, expect, id, customer, digest),
+            Op::KeyWithdraw { id } => self.withdraw_key(index, expect, id),
+            Op::RouteSet(spec) => self.set_route(index, expect, spec),
+            Op::RouteRemove { id } => self.remove_route(expect, id),
+            Op::ServiceSet { id, floor, join } => self.set_service(index, expect, id, *floor, join),
+            Op::ServiceRemove { id } => self.remove_service(expect, id),
+            Op::VmJoin(spec) => self.join_vm(index, spec),
+            Op::VmRemove { name, ended } => self.remove_vm(expect, name, *ended),
+            Op::WitnessSettle { version } => self.settle_witnesses(*version),
+        }
+    }
+
+    fn set_customer(&self, index: Index, expect: Version, id: &CustomerId, limit: Limit) -> Planned {
+        check_name("id", id)?;
+        check_range("rate", limit.rate.into(), 1, LIMIT_MAX.into())?;
+        check_range("burst", limit.burst.into(), 1, LIMIT_MAX.into())?;
+        let old = self.view.customers.get(id);
+        check_expect(expect, old.map_or(0, |c| c.version))?;
+        let security = old.is_some_and(|c| limit.rate < c.limit.rate || limit.burst < c.limit.burst);
+        let customer = Customer {
+            id: id.clone(),
+            limit,
+            version: index,
+        };
+        Ok(Plan {
+            security,
+            ..Plan::of(Edit::Customer(customer))
+        })
+    }
+
+    fn remove_customer(&self, expect: Version, id: &CustomerId, with_keys: bool) -> Planned {
+        let old = self.view.customers.get(id);
+        let old = old.ok_or_else(|| missing("customer", id))?;
+        check_expect(expect, old.version)?;
+        let mut keys: Vec<&Key> = self.view.keys.values().filter(|k| k.customer == *id).collect();
+        keys.sort_by(|a, b| a.id.cmp(&b.id));
+        if let Some(key) = keys.iter().find(|k| !k.withdrawn && !with_keys) {
+            let detail = format!("key \"{}\" of the customer is not withdrawn", key.id);
+            return Err(Fault::new(Code::InUse, detail));
+        }
+        let mut edits: Vec<Edit> = keys.iter().map(|k| Edit::KeyGone(k.digest.clone())).collect();
+        edits.push(Edit::CustomerGone(id.clone()));
+        Ok(Plan {
+            edits,
+            security: true,
+            ..Plan::default()
+        })
+    }
+
+    fn issue_key(
+        &self,
+        index: Index,
+        expect: Version,
+        id: &KeyId,
+        customer: &CustomerId,
+        digest: &SmolStr,
+    ) -> Planned {
+        check_name("id", id)?;
+        // A dot separates the id from the secret part of a key.
+        if id.contains('.') {
+            return Err(Fault::field("id", format!("{id:?} holds '.'")));
+        }
+        check_digest("digest", digest)?;
+        if !self.view.customers.contains_key(customer) {
+            return Err(missing("customer", customer));
+        }
+        let current = self.key(id).map_or(0, |k| k.version);
+        if expect != 0 || current != 0 {
+            return Err(Fault::conflict(expect, current));
+        }
+        if self.view.keys.contains_key(digest) {
+            return Err(Fault::field("digest", "another key has the same digest"));
+        }
+        Ok(Plan::of(Edit::Key(Key {
+            id: id.clone(),
+            customer: customer.clone(),
+            digest: digest.clone(),
+            withdrawn: false,
+            version: index,
+        })))
+    }
+
+    fn withdraw_key(&self, index: Index, expect: Version, id: &KeyId) -> Planned {
+        let old = self.key(id).ok_or_else(|| missing("key", id))?;
+        check_expect(expect, old.version)?;
+        let key = Key {
+            withdrawn: true,
+            version: index,
+            ..old.clone()
+        };
+        Ok(Plan {
+            security: true,
+            ..Plan::of(Edit::Key(key))
+        })
+    }
+
+    fn set_route(&self, index: Index, expect: Version, spec: &RouteSpec) -> Planned {
+        check_name("id", &spec.id)?;
+        check_prefix(&spec.prefix)?;
+        check_range("limit_ms", spec.limit_ms, 0, ROUTE_LIMIT_MS)?;
+        if !self.view.services.contains_key(&spec.service) {
+            return Err(missing("service", &spec.service));
+        }
+        let old = self.route(&spec.id);
+        check_expect(expect, old.map_or(0, |r| r.version))?;
+        let same = |r: &&Route| r.prefix == spec.prefix && r.id != spec.id;
+        if let Some(other) = self.view.routes.iter().find(same) {
+            let detail = format!("{:?} is the prefix of route \"{}\"", spec.prefix, other.id);
+            return Err(Fault::field("prefix", detail));
+        }
+        let closes_old = old.is_some_and(|r| r.open && (!spec.open || r.prefix != spec.prefix));
+        // A closed route below an open one closes the paths under its prefix.
+        let closes_part = !spec.open && self.view.route(&spec.prefix).is_some_and(|r| r.open);
+        let route = Route {
+            id: spec.id.clone(),
+            prefix: spec.prefix.clone(),
+            service: spec.service.clone(),
+            open: spec.open,
+            idempotent: spec.idempotent,
+            require_id: spec.require_id,
+            limit_ms: spec.limit_ms,
+            version: index,
+        };
+        Ok(Plan {
+            security: closes_old || closes_part,
+            ..Plan::of(Edit::Route(route))
+        })
+    }
+
+    fn remove_route(&self, expect: Version, id: &RouteId) -> Planned {
+        let old = self.route(id).ok_or_else(|| missing("route", id))?;
+        check_expect(expect, old.version)?;
+        Ok(Plan {
+            security: old.open,
+            ..Plan::of(Edit::RouteGone(id.clone()))
+        })
+    }
+
+    fn set_service(
+        &self,
+        index: Index,
+        expect: Version,
+        id: &ServiceId,
+        floor: u32,
+        join: &JoinSecret,
+    ) -> Planned {
+        check_name("id", id)?;
+        check_range("floor", floor.into(), 0, FLOOR_MAX.into())?;
+        let old = self.view.services.get(id);
+        check_expect(expect, old.map_or(0, |s| s.version))?;
+        let join_digest = match (join, old) {
+            (JoinSecret::Given(digest) | JoinSecret::Made(digest), _) => digest.clone(),
+            (JoinSecret::Keep, Some(old)) => old.join_digest.clone(),
+            (JoinSecret::Keep, None) => {
+                return Err(Fault::field("secret", "a new service needs a join secret"));
+            }
+        };
+        check_digest("secret", &join_digest)?;
+        Ok(Plan::of(Edit::Service(ServiceRecord {
+            id: id.clone(),
+            floor,
+            join_digest,
+            version: index,
+        })))
+    }
+
+    fn remove_service(&self, expect: Version, id: &ServiceId) -> Planned {
+        let old = self.view.services.get(id);
+        let old = old.ok_or_else(|| missing("service", id))?;
+        check_expect(expect, old.version)?;
+        if let Some(route) = self.view.routes.iter().find(|r| r.service == *id) {
+            let detail = format!("route \"{}\" leads to the service", route.id);
+            return Err(Fault::new(Code::InUse, detail));
+        }
+        Ok(Plan::of(Edit::ServiceGone(id.clone())))
+    }
+
+    fn join_vm(&self, index: Index, spec: &VmSpec) -> Planned {
+        check_name("name", &spec.name)?;
+        check_name("domain", &spec.domain)?;
+        check_range("incarnation", spec.incarnation, 1, u64::MAX)?;
+        if spec.caller == spec.peer {
+            return Err(Fault::field(
+                "peer",
+                format!("{} is also the caller address", spec.peer),
+            ));
+        }
+        let vm = Vm {
+            name: spec.name.clone(),
+            domain: spec.domain.clone(),
+            caller: spec.caller,
+            peer: spec.peer,
+            incarnation: spec.incarnation,
+            version: index,
+        };
+        if let Some(old) = self.view.vms.get(&spec.name) {
+            let repeated = Vm {
+                version: old.version,
+                ..vm.clone()
+            };
+            if repeated == *old {
+                return Ok(Plan::default());
+            }
+            if old.incarnation >= spec.incarnation {
+                let detail = format!(
+                    "incarnation {} of VM \"{}\" is not larger than the registered {}",
+                    spec.incarnation, spec.name, old.incarnation
+                );
+                return Err(Fault {
+                    current: Some(old.version),
+                    ..Fault::new(Code::Conflict, detail)
+                });
+            }
+        }
+        self.check_addresses(spec)?;
+        Ok(Plan {
+            regroup: true,
+            ..Plan::of(Edit::Vm(vm))
+        })
+    }
+
+    /// Two VMs with one address would receive each other's calls.
+    fn check_addresses(&self, spec: &VmSpec) -> Result<(), Fault> {
+        for other in self.view.vms.values().filter(|v| v.name != spec.name) {
+            for (field, address) in [("caller", spec.caller), ("peer", spec.peer)] {
+                if address == other.caller || address == other.peer {
+                    let detail = format!("{address} is an address of VM \"{}\"", other.name);
+                    return Err(Fault::field(field, detail));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn remove_vm(&self, expect: Version, name: &VmName, ended: bool) -> Planned {
+        let old = self.view.vms.get(name).ok_or_else(|| missing("VM", name))?;
+        check_expect(expect, old.version)?;
+        let mut plan = Plan::of(Edit::VmGone(name.clone()));
+        plan.regroup = true;
+        let Witnesses { current, previous } = &self.view.witnesses;
+        if ended && (current.contains(name) || previous.contains(name)) {
+            let without = |group: &[VmName]| group.iter().filter(|n| *n != name).cloned().collect();
+            plan.edits.push(Edit::Witnesses(Witnesses {
+                current: without(current),
+                previous: without(previous),
+            }));
+        }
+        Ok(plan)
+    }
+
+    fn settle_witnesses(&self, version: Version) -> Planned {
+        if self.witness_version != version || self.view.witnesses.previous.is_empty() {
+            return Ok(Plan::default());
+        }
+        let settled = Witnesses {
+            current: self.view.witnesses.current.clone(),
+            previous: Vec::new(),
+        };
+        Ok(Plan {
+            regroup: true,
+            ..Plan::of(Edit::Witnesses(settled))
+        })
+    }
+
+    /// The next change of the witness group, unless one is under way.
+    pub(super) fn regroup(&self) -> Option<Witnesses> {
+        let Witnesses { current, previous } = &self.view.witnesses;
+        if !previous.is_empty() {
+            return None;
+        }
+        let wanted = witness::choose(self.view.vms.values(), current);
+        (wanted != *current).then(|| Witnesses {
+            current: wanted,
+            previous: current.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/src/catalog/change.rs
@@ -0,0 +1,246 @@
+//! Changes of the configuration and their outcomes, as they stand in the replicated log.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::code::Code;
+use crate::id::ChangeId;
+use crate::id::CustomerId;
+use crate::id::DomainName;
+use crate::id::Incarnation;
+use crate::id::KeyId;
+use crate::id::RouteId;
+use crate::id::ServiceId;
+use crate::id::Version;
+use crate::id::VmName;
+use crate::secret::digest;
+use crate::view::Limit;
+
+/// Hexadecimal characters of a content fingerprint: 128 bits rule out accidental equality.
+const FINGERPRINT_CHARS: usize = 32;
+
+/// One change of one object.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Identifies the change when it is sent again.
+    pub id: ChangeId,
+    /// Version of the object that the change was made for; 0 if the object must not exist.
+    pub expect: Version,
+    /// What is changed.
+    pub op: Op,
+}
+
+/// Attributes of a route that an operator sets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteSpec {
+    /// Name of the route.
+    pub id: RouteId,
+    /// Path prefix, such as `/forecast`.
+    pub prefix: SmolStr,
+    /// Service that runs the requests.
+    pub service: ServiceId,
+    /// Whether requests without a key are admitted.
+    pub open: bool,
+    /// Whether all methods are idempotent on this route.
+    pub idempotent: bool,
+    /// Whether non-idempotent requests must carry an `idempotency-key`.
+    pub require_id: bool,
+    /// Deadline in milliseconds; 0 leaves it to the VM's settings.
+    pub limit_ms: u64,
+}
+
+/// An entry VM as it registers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmSpec {
+    /// Name of the VM.
+    pub name: VmName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Address that callers are told.
+    pub caller: SocketAddr,
+    /// Address for other processes.
+    pub peer: SocketAddr,
+    /// Run of the VM; a restarted VM has a larger one.
+    pub incarnation: Incarnation,
+}
+
+/// The join secret of a service in a change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JoinSecret {
+    /// The stored digest stays.
+    Keep,
+    /// Digest of a secret that the operator gave.
+    Given(SmolStr),
+    /// Digest of a secret that the control process made for this call.
+    Made(SmolStr),
+}
+
+/// What a change does.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Op {
+    /// Creates or replaces a customer.
+    CustomerSet {
+        /// Name of the customer.
+        id: CustomerId,
+        /// Rate and burst.
+        limit: Limit,
+    },
+    /// Removes a customer and its withdrawn keys.
+    CustomerRemove {
+        /// Name of the customer.
+        id: CustomerId,
+        /// Removes keys that are not withdrawn as well, instead of refusing with `InUse`.
+        with_keys: bool,
+    },
+    /// Stores the digest of a new key.
+    KeyIssue {
+        /// Public part of the key.
+        id: KeyId,
+        /// Owner of the key.
+        customer: CustomerId,
+        /// SHA-256 of the whole key, in hexadecimal.
+        digest: SmolStr,
+    },
+    /// Withdraws a key for good.
+    KeyWithdraw {
+        /// Public part of the key.
+        id: KeyId,
+    },
+    /// Creates or replaces a route.
+    RouteSet(RouteSpec),
+    /// Removes a route.
+    RouteRemove {
+        /// Name of the route.
+        id: RouteId,
+    },
+    /// Creates or replaces a service.
+    ServiceSet {
+        /// Name of the service.
+        id: ServiceId,
+        /// Healthy capacity in slots below which no upstream is ejected.
+        floor: u32,
+        /// The join secret.
+        join: JoinSecret,
+    },
+    /// Removes a service.
+    ServiceRemove {
+        /// Name of the service.
+        id: ServiceId,
+    },
+    /// Registers an entry VM; the incarnation orders registrations, `expect` is not used.
+    VmJoin(VmSpec),
+    /// Removes an entry VM from the registry.
+    VmRemove {
+        /// Name of the VM.
+        name: VmName,
+        /// The operator states that the process has ended, so it leaves the witness group at once.
+        ended: bool,
+    },
+    /// Ends the joint phase of a change of the witness group; `expect` is not used.
+    WitnessSettle {
+        /// Version of the group change that a majority of both groups has acknowledged.
+        version: Version,
+    },
+}
+
+impl Op {
+    /// Whether the change comes from a process: it is idempotent by itself and its id is not kept.
+    pub fn is_internal(&self) -> bool {
+        matches!(self, Op::VmJoin(_) | Op::WitnessSettle { .. })
+    }
+
+    /// The operation without values that the control process made at random, so that a resent call
+    /// equals the first one.
+    fn intent(&self) -> Op {
+        let mut op = self.clone();
+        match &mut op {
+            Op::KeyIssue { digest, .. } => *digest = SmolStr::default(),
+            Op::ServiceSet {
+                join: JoinSecret::Made(digest),
+                ..
+            } => *digest = SmolStr::default(),
+            _ => {}
+        }
+        op
+    }
+}
+
+impl Change {
+    /// Digest of the content that a resent change must repeat.
+    pub(crate) fn fingerprint(&self) -> SmolStr {
+        let content = serde_json::json!([self.expect, self.op.intent()]);
+        digest(&content.to_string())[..FINGERPRINT_CHARS].into()
+    }
+}
+
+/// Why a change was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Number of the result code.
+    pub code: u16,
+    /// What is wrong, without any key or secret.
+    pub detail: String,
+    /// The field that is wrong.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub field: Option<String>,
+    /// Current version of the object; 0 if it does not exist.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current: Option<Version>,
+}
+
+impl Fault {
+    /// A refusal with its explanation.
+    pub fn new(code: Code, detail: impl Into<String>) -> Self {
+        Self {
+            code: code.number(),
+            detail: detail.into(),
+            field: None,
+            current: None,
+        }
+    }
+
+    /// A value that is out of range.
+    pub fn field(field: &str, detail: impl Into<String>) -> Self {
+        Self {
+            field: Some(field.into()),
+            ..Self::new(Code::BadParams, format!("{field}: {}", detail.into()))
+        }
+    }
+
+    /// A lost race: the object has another version than expected.
+    pub fn conflict(expect: Version, current: Version) -> Self {
+        let detail = match (expect, current) {
+            (0, _) => format!("the object exists with version {current}"),
+            (_, 0) => format!("expected version {expect}, but the object does not exist"),
+            _ => format!("expected version {expect}, but the current one is {current}"),
+        };
+        Self {
+            current: Some(current),
+            ..Self::new(Code::Conflict, detail)
+        }
+    }
+
+    /// The result code.
+    pub fn code(&self) -> Code {
+        Code::from_number(self.code).unwrap_or(Code::BadAnswer)
+    }
+}
+
+/// Result of applying a change, the same on each replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// Version of the configuration with this change, or without it if it was refused.
+    pub version: Version,
+    /// Whether the change takes a right away and needs the witness group (section 5.1).
+    pub security: bool,
+    /// Whether the change id was applied before and this is the first outcome.
+    pub repeated: bool,
+    /// Why the change was refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fault: Option<Fault>,
+}
--- /dev/null
+++ b/src/catalog/delta.rs
@@ -0,0 +1,109 @@
+//! Differences between versions of the configuration, as entry VMs receive them.
+
+use std::cmp::Reverse;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::id::CustomerId;
+use crate::id::RouteId;
+use crate::id::ServiceId;
+use crate::id::Version;
+use crate::id::VmName;
+use crate::view::Customer;
+use crate::view::Key;
+use crate::view::Route;
+use crate::view::ServiceRecord;
+use crate::view::View;
+use crate::view::Vm;
+use crate::view::Witnesses;
+
+/// A record that was set or removed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Edit {
+    /// A customer was set.
+    Customer(Customer),
+    /// A customer was removed.
+    CustomerGone(CustomerId),
+    /// A key was issued or withdrawn.
+    Key(Key),
+    /// The key with this digest was removed.
+    KeyGone(SmolStr),
+    /// A route was set.
+    Route(Route),
+    /// A route was removed.
+    RouteGone(RouteId),
+    /// A service was set.
+    Service(ServiceRecord),
+    /// A service was removed.
+    ServiceGone(ServiceId),
+    /// An entry VM registered.
+    Vm(Vm),
+    /// An entry VM was removed.
+    VmGone(VmName),
+    /// The witness group changed.
+    Witnesses(Witnesses),
+}
+
+/// The records that one change touched.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Version of the configuration with this change.
+    pub version: Version,
+    /// The records.
+    pub edits: Vec<Edit>,
+}
+
+impl Delta {
+    /// Applies the change to the view that precedes it.
+    pub fn apply(&self, view: &mut View) {
+        for edit in &self.edits {
+            edit.apply(view);
+        }
+        view.version = self.version;
+    }
+}
+
+impl Edit {
+    fn apply(&self, view: &mut View) {
+        match self {
+            Edit::Customer(c) => {
+                view.customers.insert(c.id.clone(), c.clone());
+            }
+            Edit::CustomerGone(id) => {
+                view.customers.remove(id);
+            }
+            Edit::Key(k) => {
+                view.keys.insert(k.digest.clone(), k.clone());
+            }
+            Edit::KeyGone(digest) => {
+                view.keys.remove(digest);
+            }
+            Edit::Route(route) => set_route(&mut view.routes, route),
+            Edit::RouteGone(id) => view.routes.retain(|r| r.id != *id),
+            Edit::Service(s) => {
+                view.services.insert(s.id.clone(), s.clone());
+            }
+            Edit::ServiceGone(id) => {
+                view.services.remove(id);
+            }
+            Edit::Vm(vm) => {
+                view.vms.insert(vm.name.clone(), vm.clone());
+            }
+            Edit::VmGone(name) => {
+                view.vms.remove(name);
+            }
+            Edit::Witnesses(witnesses) => view.witnesses = witnesses.clone(),
+        }
+    }
+}
+
+/// Puts a route in its place; the longest prefix comes first, and the id orders equal lengths.
+fn set_route(routes: &mut Vec<Route>, route: &Route) {
+    routes.retain(|r| r.id != route.id);
+    let place = |r: &Route| (Reverse(r.prefix.len()), r.id.clone());
+    let at = routes.partition_point(|r| place(r) < place(route));
+    routes.insert(at, route.clone());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,10 +2,14 @@
 //!
 //! `docs/design.md` describes the modules, the state and the messages.
 
+pub mod catalog;
 pub mod code;
+pub mod control;
 pub mod error;
 pub mod id;
 pub mod kernel;
+pub mod operator;
+pub mod replication;
 pub mod rpc;
 pub mod secret;
 pub mod settings;
--- /dev/null
+++ b/src/operator/process.rs
@@ -0,0 +1,77 @@
+//! Methods for entry VMs: registration and the configuration feed.
+
+use std::sync::Arc;
+
+use jsonrpsee::types::ErrorObjectOwned;
+use log::info;
+
+use crate::catalog::change::Change;
+use crate::catalog::change::Op;
+use crate::catalog::change::VmSpec;
+use crate::operator::Operator;
+use crate::operator::params::FetchAnswer;
+use crate::operator::params::FetchAsk;
+use crate::operator::params::JoinAnswer;
+use crate::operator::params::JoinAsk;
+use crate::operator::table::Place;
+use crate::operator::table::Table;
+
+/// Changes in one answer of `config.fetch` unless the call states fewer.
+pub const FETCH_CHANGES: usize = 500;
+
+pub(super) fn add(table: &mut Table) {
+    table.add("config.fetch", Place::PreferLeader, config_fetch);
+    table.add("vm.join", Place::Leader, vm_join);
+}
+
+async fn config_fetch(operator: Arc<Operator>, p: FetchAsk) -> Result<FetchAnswer, ErrorObjectOwned> {
+    let view = operator.view();
+    operator
+        .acks
+        .lock()
+        .unwrap()
+        .record(&view, &p.vm, p.incarnation, p.version);
+    // Leadership is confirmed before the configuration is read: a change that another leader
+    // accepted meanwhile would be missing otherwise.
+    let leader = operator.is_leader() && operator.is_confirmed().await;
+    let (view, changes) = operator.replication.read(|c| (c.view(), c.changes(p.version)));
+    let limit = p.limit.unwrap_or(FETCH_CHANGES).clamp(1, FETCH_CHANGES);
+    let changes = changes.map(|mut list| {
+        list.truncate(limit);
+        list
+    });
+    Ok(FetchAnswer {
+        version: view.version,
+        leader,
+        registered: view.vms.get(&p.vm).map(|v| v.incarnation),
+        snapshot: changes.is_none().then(|| (*view).clone()),
+        changes,
+    })
+}
+
+async fn vm_join(operator: Arc<Operator>, p: JoinAsk) -> Result<JoinAnswer, ErrorObjectOwned> {
+    let change = Change {
+        id: "join".into(),
+        expect: 0,
+        op: Op::VmJoin(VmSpec {
+            name: p.vm.clone(),
+            domain: p.domain,
+            caller: p.caller,
+            peer: p.peer,
+            incarnation: p.incarnation,
+        }),
+    };
+    let outcome = operator.propose(&change).await?;
+    if let Some(fault) = outcome.fault {
+        let data = serde_json::json!({"field": fault.field, "version": outcome.version});
+        return Err(ErrorObjectOwned::owned(
+            i32::from(fault.code),
+            fault.detail,
+            Some(data),
+        ));
+    }
+    info!("VM {} joined with incarnation {}", p.vm, p.incarnation);
+    Ok(JoinAnswer {
+        version: outcome.version,
+    })
+}
--- /dev/null
+++ b/src/operator/table.rs
@@ -0,0 +1,251 @@
+//! Method tables: parsing of parameters, forwarding to the leader, and the `RpcModule` of a table.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use jsonrpsee::RpcModule;
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::error::INVALID_PARAMS_CODE;
+use jsonrpsee::types::error::METHOD_NOT_FOUND_CODE;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::code::Code;
+use crate::error::Error;
+use crate::error::Result;
+use crate::operator::Operator;
+use crate::rpc::Client;
+
+/// Result of a method as it goes over the wire.
+pub type Reply = std::result::Result<Value, ErrorObjectOwned>;
+
+/// Limit of a forwarded call; longer than the wait for witnesses.
+const FORWARD_LIMIT: Duration = Duration::from_secs(12);
+/// Limit of a forwarded `config.fetch`: entry VMs ask every 500 ms and can use a follower's answer.
+const FETCH_FORWARD_LIMIT: Duration = Duration::from_millis(400);
+
+/// Where a method runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// On the leader only.
+    Leader,
+    /// On the leader, or here if the leader does not answer.
+    PreferLeader,
+    /// On the replica that was called.
+    Here,
+}
+
+type Handler = Arc<dyn Fn(Arc<Operator>, Map<String, Value>) -> BoxFuture<'static, Reply> + Send + Sync>;
+
+#[derive(Clone)]
+struct Method {
+    place: Place,
+    handler: Handler,
+}
+
+/// The methods that one kind of caller may use.
+pub(crate) struct Table {
+    /// Name of the method that carries a call from a follower to the leader.
+    forward: &'static str,
+    /// Chooses the client whose secret admits calls to this table.
+    client: fn(&Operator, &str) -> Option<Arc<Client>>,
+    methods: BTreeMap<&'static str, Method>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Forwarded {
+    method: String,
+    params: Map<String, Value>,
+}
+
+impl Table {
+    pub(crate) fn new(forward: &'static str, client: fn(&Operator, &str) -> Option<Arc<Client>>) -> Self {
+        Self {
+            forward,
+            client,
+            methods: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a method with typed parameters.
+    pub(crate) fn add<P, R, F, Fut>(&mut self, name: &'static str, place: Place, method: F)
+    where
+        P: DeserializeOwned + Send + 'static,
+        R: Serialize,
+        F: Fn(Arc<Operator>, P) -> Fut + Send + Sync + Clone + 'static,
+        Fut: Future<Output = std::result::Result<R, ErrorObjectOwned>> + Send + 'static,
+    {
+        let handler: Handler = Arc::new(move |operator, params| {
+            let method = method.clone();
+            async move {
+                let params = parse(params)?;
+                let result = method(operator, params).await?;
+                serde_json::to_value(result)
+                    .map_err(|e| Error::new(Code::BadAnswer, format!("{name}: {e}")).into())
+            }
+            .boxed()
+        });
+        self.methods.insert(name, Method { place, handler });
+    }
+
+    /// The module that answers the calls.
+    pub(crate) fn module(self, operator: &Arc<Operator>) -> Result<RpcModule<()>> {
+        let mut module = RpcModule::new(());
+        let table = Arc::new(self);
+        let names = table.methods.keys().copied().chain([table.forward]);
+        for name in names {
+            let table = Arc::clone(&table);
+            let operator = Arc::clone(operator);
+            module
+                .register_async_method(name, move |params, _, _| {
+                    let table = Arc::clone(&table);
+                    let operator = Arc::clone(&operator);
+                    let params = object(params.as_str());
+                    async move {
+                        let reply = match params {
+                            Ok(params) => table.answer(&operator, name, params).await,
+                            Err(fault) => Err(fault),
+                        };
+                        operator.count(name, &reply);
+                        reply
+                    }
+                })
+                .map_err(|e| Error::new(Code::Kernel, format!("method {name}: {e}")))?;
+        }
+        Ok(module)
+    }
+
+    async fn answer(&self, operator: &Arc<Operator>, name: &str, params: Map<String, Value>) -> Reply {
+        if name == self.forward {
+            let call: Forwarded = parse(params)?;
+            return self.run_forwarded(operator, call).await;
+        }
+        let Some(method) = self.methods.get(name) else {
+            return Err(unknown(name));
+        };
+        if method.place == Place::Here || operator.is_leader() {
+            let reply = (method.handler)(Arc::clone(operator), params.clone()).await;
+            if !is_not_leader(&reply) {
+                return reply;
+            }
+        }
+        let forwarded = self.forward(operator, name, method.place, &params).await;
+        match forwarded {
+            Ok(reply) if method.place == Place::Leader || !is_not_leader(&reply) => reply,
+            Err(error) if method.place == Place::Leader => Err(error.into()),
+            _ => (method.handler)(Arc::clone(operator), params).await,
+        }
+    }
+
+    /// Runs a call that a follower sent on; it is not sent on again, so that two replicas that each
+    /// take the other for the leader do not exchange it forever.
+    async fn run_forwarded(&self, operator: &Arc<Operator>, call: Forwarded) -> Reply {
+        let Some(method) = self.methods.get(call.method.as_str()) else {
+            return Err(unknown(&call.method));
+        };
+        if !operator.is_leader() {
+            return Err(Error::from(Code::NotLeader).into());
+        }
+        (method.handler)(Arc::clone(operator), call.params).await
+    }
+
+    async fn forward(
+        &self,
+        operator: &Operator,
+        name: &str,
+        place: Place,
+        params: &Map<String, Value>,
+    ) -> Result<Reply> {
+        let leader = operator.leader().ok_or_else(|| {
+            Error::new(
+                Code::NotLeader,
+                "no leader is known; an election may be under way",
+            )
+        })?;
+        let client = (self.client)(operator, &leader).ok_or_else(|| {
+            let detail = format!("the leader \"{leader}\" is not another VM of the settings");
+            Error::new(Code::NotLeader, detail)
+        })?;
+        let limit = match place {
+            Place::Leader => FORWARD_LIMIT,
+            _ => FETCH_FORWARD_LIMIT,
+        };
+        let call = Forwarded {
+            method: name.into(),
+            params: params.clone(),
+        };
+        client
+            .request(self.forward, &call, limit)
+            .await
+            .map_err(|e| match e.code {
+                // Nothing was sent, so the call did not run.
+                Code::Unreachable => {
+                    Error::new(Code::NotLeader, format!("leader \"{leader}\": {}", e.detail))
+                }
+                _ => e,
+            })
+    }
+}
+
+fn unknown(name: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(
+        METHOD_NOT_FOUND_CODE,
+        format!("unknown method {name:?}"),
+        None::<()>,
+    )
+}
+
+fn is_not_leader(reply: &Reply) -> bool {
+    let number = i32::from(Code::NotLeader.number());
+    matches!(reply, Err(fault) if fault.code() == number)
+}
+
+fn invalid(detail: String, field: Option<&str>) -> ErrorObjectOwned {
+    let data = field.map(|f| json!({"field": f}));
+    ErrorObjectOwned::owned(INVALID_PARAMS_CODE, detail, data)
+}
+
+fn object(text: Option<&str>) -> std::result::Result<Map<String, Value>, ErrorObjectOwned> {
+    match text.map(serde_json::from_str) {
+        None | Some(Ok(Value::Null)) => Ok(Map::new()),
+        Some(Ok(Value::Object(map))) => Ok(map),
+        Some(Ok(_)) => Err(invalid(
+            "params is not an object with named parameters".into(),
+            None,
+        )),
+        Some(Err(e)) => Err(invalid(format!("params: {e}"), None)),
+    }
+}
+
+fn parse<P: DeserializeOwned>(params: Map<String, Value>) -> std::result::Result<P, ErrorObjectOwned> {
+    let error = match read::<P>(params.clone()) {
+        Ok(parsed) => return Ok(parsed),
+        Err(error) => error,
+    };
+    // The error of serde does not name the field; without the wrong field the error differs.
+    let culprit = params.keys().find(|name| {
+        let mut rest = params.clone();
+        rest.remove(*name);
+        read::<P>(rest).err().as_ref() != Some(&error)
+    });
+    let detail = match culprit {
+        // The text of serde repeats the value.
+        Some(name) if name == "secret" => "secret: not a string".into(),
+        Some(name) if !error.contains(&format!("`{name}`")) => format!("{name}: {error}"),
+        _ => error,
+    };
+    Err(invalid(detail, culprit.map(String::as_str)))
+}
+
+fn read<P: DeserializeOwned>(params: Map<String, Value>) -> std::result::Result<P, String> {
+    serde_json::from_value(Value::Object(params)).map_err(|e| e.to_string())
+}
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -111,13 +111,7 @@
     #[serde(default)]
     result: Option<Value>,
     #[serde(default)]
-    error: Option<Fault>,
-}
-
-#[derive(Deserialize)]
-struct Fault {
-    code: i64,
-    message: String,
+    error: Option<ErrorObjectOwned>,
 }
 
 struct Idle {
@@ -160,6 +154,27 @@
     where
         P: Serialize + Sync,
         R: DeserializeOwned,
+    {
+        let place = || format!("{method} to {}", self.address);
+        match self.request(method, params, limit).await? {
+            Ok(result) => serde_json::from_value(result)
+                .map_err(|e| Error::new(Code::BadAnswer, format!("{}: {e}", place()))),
+            Err(fault) => Err(fault_error(fault)),
+        }
+    }
+
+    /// Calls a method and returns its result or its error object as the other process sent it.
+    ///
+    /// # Errors
+    /// `Unreachable` if nothing was sent, `Timeout` or `BadAnswer` if the call may have run.
+    pub async fn request<P>(
+        &self,
+        method: &str,
+        params: &P,
+        limit: Duration,
+    ) -> Result<std::result::Result<Value, ErrorObjectOwned>>
+    where
+        P: Serialize + Sync,
     {
         let place = || format!("{method} to {}", self.address);
         let id = self.calls.fetch_add(1, Ordering::Relaxed);
@@ -177,11 +192,10 @@
             .map_err(|e| Error::new(e.code, format!("{}: {}", place(), e.detail)))?;
         let answer: Answer = serde_json::from_str(&answer)
             .map_err(|e| Error::new(Code::BadAnswer, format!("{}: {e}", place())))?;
-        if let Some(fault) = answer.error {
-            return Err(fault_error(fault));
+        match answer.error {
+            Some(fault) => Ok(Err(fault)),
+            None => Ok(Ok(answer.result.unwrap_or(Value::Null))),
         }
-        serde_json::from_value(answer.result.unwrap_or(Value::Null))
-            .map_err(|e| Error::new(Code::BadAnswer, format!("{}: {e}", place())))
     }
 
     async fn send(&self, body: String) -> Result<String> {
@@ -244,14 +258,15 @@
     futures::poll!(peek).is_pending()
 }
 
-fn fault_error(fault: Fault) -> Error {
-    let code = u16::try_from(fault.code).ok().and_then(Code::from_number);
+/// The error of another process; standard JSON-RPC numbers have no code of their own.
+pub fn fault_error(fault: ErrorObjectOwned) -> Error {
+    let code = u16::try_from(fault.code()).ok().and_then(Code::from_number);
     match code {
-        Some(code) => Error::new(code, fault.message),
-        None if (-32_602..=-32_600).contains(&fault.code) => Error::new(Code::BadParams, fault.message),
+        Some(code) => Error::new(code, fault.message()),
+        None if (-32_602..=-32_600).contains(&fault.code()) => Error::new(Code::BadParams, fault.message()),
         None => Error::new(
             Code::BadAnswer,
-            format!("error {}: {}", fault.code, fault.message),
+            format!("error {}: {}", fault.code(), fault.message()),
         ),
     }
 }
--- a/src/secret.rs
+++ b/src/secret.rs
@@ -84,7 +84,15 @@
 /// # Errors
 /// `Io` if the system gives no random bytes.
 pub fn new_key(id: &KeyId) -> Result<String> {
+    Ok(format!("{KEY_PREFIX}{id}.{}", new_secret()?))
+}
+
+/// A new random secret in hexadecimal.
+///
+/// # Errors
+/// `Io` if the system gives no random bytes.
+pub fn new_secret() -> Result<String> {
     let mut bytes = [0; KEY_BYTES];
     getrandom::fill(&mut bytes).map_err(|e| Error::new(Code::Io, format!("random bytes: {e}")))?;
-    Ok(format!("{KEY_PREFIX}{id}.{}", hex::encode(bytes)))
+    Ok(hex::encode(bytes))
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -115,7 +115,7 @@
 }
 
 /// The whole configuration at one version.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
     /// Version of the last applied change; 0 is the empty configuration.
     pub version: Version,
