--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,11 @@
 //! `docs/design.md` describes the modules, the state and the messages.
 
 pub mod balance;
+pub mod catalog;
 pub mod clients;
 pub mod clock;
 pub mod code;
+pub mod control;
 pub mod detect;
 pub mod directory;
 pub mod error;
@@ -19,7 +21,9 @@
 pub mod logger;
 pub mod member;
 pub mod metric;
+pub mod operator;
 pub mod permit;
+pub mod replication;
 pub mod rpc;
 pub mod secret;
 pub mod settings;
