--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/design.md` describes the modules, the state and the messages.
 
+pub mod answer;
 pub mod balance;
 pub mod catalog;
 pub mod clients;
@@ -15,6 +16,8 @@
 pub mod fault;
 pub mod freshness;
 pub mod gossip;
+pub mod head;
+pub mod http;
 pub mod id;
 pub mod job;
 pub mod kernel;
@@ -23,6 +26,8 @@
 pub mod metric;
 pub mod operator;
 pub mod permit;
+pub mod pool;
+pub mod proxy;
 pub mod replication;
 pub mod rpc;
 pub mod secret;
