Add claims on a majority of holders and the quarantine of crashing requests

Cause: a non-idempotent request that is sent again must meet its first try, also on another entry VM, after a restart of holders and while the set of VMs changes. Ruled out: coordinators that choose holders by another registry than the holder's. A claim under the old set and one under the new set could then have majorities without a common holder; holders refuse such puts. Ruled out: copying right after a restart. Ruled out: a bare yes or no for 'copied everything'. A restarted holder answers for each id as soon as enough of its fellow holders were copied, so two dead VMs do not keep it silent for all ids. No measurement yet; tests follow.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,10 @@
 //!
 //! `docs/design.md` describes the modules, the state and the messages.
 
+pub mod claim;
+pub mod claims;
 pub mod code;
+pub mod crashes;
 pub mod error;
 pub mod grant;
 pub mod id;
@@ -10,6 +13,7 @@
 pub mod lease;
 pub mod limits;
 pub mod peers;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod rpc;
 pub mod secret;
