Add scenarios in a small language, run against real processes

Each scenario starts control, entry and stand-in processes on loopback, cuts, freezes, kills or stops some, and compares what callers saw with the journals of the stand-ins.

--- /dev/null
+++ b/examples/scenario/fleet.rs
@@ -0,0 +1,349 @@
+//! Starts and stops the real processes of one scenario on free loopback ports.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use zinnialoom::fault;
+use zinnialoom::fault::Direction;
+use zinnialoom::rpc::Client;
+use zinnialoom::secret::Secret;
+
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+/// Longest wait for a process to end by itself after SIGTERM.
+const STOP_LIMIT: Duration = Duration::from_secs(20);
+const FLEET_SECRET: &str = "scenario-fleet-secret";
+const OPERATOR_SECRET: &str = "scenario-operator-secret";
+const JOIN_SECRET: &str = "scenario-join-secret";
+
+/// What a process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Role {
+    Control,
+    Entry,
+    Upstream,
+}
+
+/// One process, running or not.
+pub(crate) struct Process {
+    pub(crate) role: Role,
+    /// Address for callers of an entry VM or an upstream; the RPC address of a control VM.
+    pub(crate) address: SocketAddr,
+    /// Address for RPC.
+    pub(crate) peer: SocketAddr,
+    command: Vec<String>,
+    child: Option<Child>,
+    stops: bool,
+}
+
+/// All processes of a scenario.
+pub(crate) struct Fleet {
+    pub(crate) folder: PathBuf,
+    programs: PathBuf,
+    pub(crate) processes: BTreeMap<String, Process>,
+    cuts: Vec<(SocketAddr, String)>,
+}
+
+impl Fleet {
+    pub(crate) fn new(folder: &Path, programs: &Path) -> Result<Self, String> {
+        for (name, secret) in [
+            ("fleet", FLEET_SECRET),
+            ("operator", OPERATOR_SECRET),
+            ("join", JOIN_SECRET),
+        ] {
+            let path = folder.join(format!("{name}.secret"));
+            fs::write(&path, secret).map_err(|e| format!("{}: {e}", path.display()))?;
+        }
+        Ok(Self {
+            folder: folder.into(),
+            programs: programs.into(),
+            processes: BTreeMap::new(),
+            cuts: Vec::new(),
+        })
+    }
+
+    /// Sets up control and entry VMs, spread over failure domains, without starting them.
+    pub(crate) fn plan(
+        &mut self,
+        controls: u64,
+        entries: u64,
+        domains: u64,
+        ttl: Duration,
+    ) -> Result<(), String> {
+        let mut peers = Vec::new();
+        for n in 1..=controls {
+            let address = free_address()?;
+            peers.push(json!({"vm": format!("control-{n}"), "address": address}));
+            self.add(&format!("control-{n}"), Role::Control, address, address);
+        }
+        for n in 1..=entries {
+            self.add(
+                &format!("entry-{n}"),
+                Role::Entry,
+                free_address()?,
+                free_address()?,
+            );
+        }
+        let names: Vec<String> = self.processes.keys().cloned().collect();
+        for name in names {
+            let number: u64 = name.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(1);
+            self.write_settings(
+                &name,
+                &format!("domain-{}", (number - 1) % domains + 1),
+                &peers,
+                ttl,
+            )?;
+        }
+        Ok(())
+    }
+
+    fn add(&mut self, name: &str, role: Role, address: SocketAddr, peer: SocketAddr) {
+        let process = Process {
+            role,
+            address,
+            peer,
+            command: Vec::new(),
+            child: None,
+            stops: false,
+        };
+        self.processes.insert(name.into(), process);
+    }
+
+    fn write_settings(
+        &mut self,
+        name: &str,
+        domain: &str,
+        peers: &[serde_json::Value],
+        ttl: Duration,
+    ) -> Result<(), String> {
+        let file = |f: &str| self.folder.join(f);
+        let mut settings = json!({
+            "vm": name, "domain": domain, "fleet_secret": file("fleet.secret"), "control": peers,
+        });
+        let process = &self.processes[name];
+        let program = match process.role {
+            Role::Control => {
+                settings["bind"] = json!(process.address);
+                settings["data"] = json!(file(name));
+                settings["operator_secret"] = json!(file("operator.secret"));
+                "zinnia-control"
+            }
+            _ => {
+                settings["caller"] = json!(process.address);
+                settings["peer"] = json!(process.peer);
+                settings["address_ttl_ms"] = json!(ttl.as_millis());
+                "zinnia-entry"
+            }
+        };
+        let path = self.folder.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        let program = self.programs.join(program);
+        let command = [
+            program.display().to_string(),
+            "--settings".into(),
+            path.display().to_string(),
+        ];
+        self.processes.get_mut(name).unwrap().command = command.into();
+        Ok(())
+    }
+
+    /// Sets up the stand-in upstreams of a service.
+    pub(crate) fn plan_upstreams(
+        &mut self,
+        service: &str,
+        count: u64,
+        domains: u64,
+        options: &[(String, String)],
+    ) -> Result<(), String> {
+        let entries: Vec<String> = self
+            .with_role(Role::Entry)
+            .map(|(_, p)| p.peer.to_string())
+            .collect();
+        for n in 1..=count {
+            let name = format!("{service}-{n}");
+            let address = free_address()?;
+            self.add(&name, Role::Upstream, address, address);
+            let mut command = vec![self.programs.join("examples/standin").display().to_string()];
+            let journal = self.folder.join(format!("{name}.journal")).display().to_string();
+            let secret = self.folder.join("join.secret").display().to_string();
+            for (flag, value) in [
+                ("bind", address.to_string()),
+                ("service", service.into()),
+                ("upstream", name.clone()),
+                ("domain", format!("domain-{}", (n - 1) % domains + 1)),
+                ("entry", entries.join(",")),
+                ("join-secret", secret),
+                ("journal", journal),
+            ] {
+                command.extend([format!("--{flag}"), value]);
+            }
+            for (flag, value) in options {
+                command.extend([format!("--{flag}"), value.clone()]);
+            }
+            self.processes.get_mut(&name).unwrap().command = command;
+        }
+        Ok(())
+    }
+
+    pub(crate) fn with_role(&self, role: Role) -> impl Iterator<Item = (&String, &Process)> {
+        self.processes.iter().filter(move |(_, p)| p.role == role)
+    }
+
+    fn get(&mut self, name: &str) -> Result<&mut Process, String> {
+        self.processes
+            .get_mut(name)
+            .ok_or_else(|| format!("no process is named {name}"))
+    }
+
+    pub(crate) fn start(&mut self, name: &str) -> Result<(), String> {
+        let path = self.folder.join(format!("{name}.log"));
+        let open = || File::options().create(true).append(true).open(&path);
+        let out = open().map_err(|e| e.to_string())?;
+        let error = open().map_err(|e| e.to_string())?;
+        let process = self.get(name)?;
+        if process.child.is_some() {
+            return Err(format!("{name} is running"));
+        }
+        let mut command = Command::new(&process.command[0]);
+        command.args(&process.command[1..]).stdout(out).stderr(error);
+        process.child = Some(
+            command
+                .spawn()
+                .map_err(|e| format!("{}: {e}", process.command[0]))?,
+        );
+        process.stops = false;
+        Ok(())
+    }
+
+    pub(crate) fn signal(&mut self, name: &str, signal: i32) -> Result<(), String> {
+        let process = self.get(name)?;
+        let child = process
+            .child
+            .as_mut()
+            .ok_or_else(|| format!("{name} is not running"))?;
+        let pid = child.id().to_string();
+        let status = Command::new("kill").args([format!("-{signal}"), pid]).status();
+        status.map_err(|e| e.to_string())?;
+        if signal == signal_hook::consts::SIGKILL {
+            let _ = child.wait();
+            process.child = None;
+        }
+        process.stops |= signal == signal_hook::consts::SIGTERM;
+        Ok(())
+    }
+
+    /// Waits for a process that was told to stop.
+    pub(crate) fn wait(&mut self, name: &str) -> Result<(), String> {
+        let process = self.get(name)?;
+        let Some(mut child) = process.child.take() else {
+            return Ok(());
+        };
+        let start = Instant::now();
+        while start.elapsed() < STOP_LIMIT {
+            if let Ok(Some(status)) = child.try_wait() {
+                return if status.success() {
+                    Ok(())
+                } else {
+                    Err(format!("{name} ended with {status}"))
+                };
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        Err(format!("{name} did not end within {STOP_LIMIT:?} after SIGTERM"))
+    }
+
+    /// Deletes the data folder of a control VM that is not running.
+    pub(crate) fn wipe(&mut self, name: &str) -> Result<(), String> {
+        let folder = self.folder.join(name);
+        if self.get(name)?.child.is_some() {
+            return Err(format!("{name} is running"));
+        }
+        fs::remove_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))
+    }
+
+    /// Cuts the direction from one process to another.
+    pub(crate) async fn cut(&mut self, from: &str, to: &str) -> Result<(), String> {
+        let (from, to) = (self.get(from)?.peer, self.get(to)?.peer);
+        self.set_cut(from, fault::cut_name(Direction::Out, to)).await?;
+        self.set_cut(to, fault::cut_name(Direction::In, from)).await
+    }
+
+    async fn set_cut(&mut self, at: SocketAddr, name: String) -> Result<(), String> {
+        set_failpoint(at, &name, "return").await?;
+        self.cuts.push((at, name));
+        Ok(())
+    }
+
+    /// Heals all cuts.
+    pub(crate) async fn heal(&mut self) -> Result<(), String> {
+        for (at, name) in std::mem::take(&mut self.cuts) {
+            // A process that was restarted has no cuts any more.
+            let _ = set_failpoint(at, &name, "off").await;
+        }
+        Ok(())
+    }
+
+    /// Runs `zinnia-ctl` and returns what it prints.
+    pub(crate) fn operate(&self, words: &[&str]) -> Result<String, String> {
+        let control: Vec<String> = self
+            .with_role(Role::Control)
+            .map(|(_, p)| p.address.to_string())
+            .collect();
+        let secret = self.folder.join("operator.secret");
+        let output = Command::new(self.programs.join("zinnia-ctl"))
+            .args(["--control", &control.join(","), "--json", "--secret"])
+            .arg(secret)
+            .args(words)
+            .output()
+            .map_err(|e| format!("zinnia-ctl: {e}"))?;
+        if !output.status.success() {
+            return Err(format!(
+                "{words:?}: {}",
+                String::from_utf8_lossy(&output.stderr).trim()
+            ));
+        }
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// Ends every process that still runs.
+    pub(crate) fn end(&mut self) {
+        for process in self.processes.values_mut() {
+            if let Some(mut child) = process.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+async fn set_failpoint(at: SocketAddr, name: &str, actions: &str) -> Result<(), String> {
+    let client = Client::new(at, Secret::new(FLEET_SECRET));
+    let ask = json!({"name": name, "actions": actions});
+    client
+        .call::<_, ()>(fault::SET_METHOD, &ask, CALL_LIMIT)
+        .await
+        .map_err(|e| e.to_string())
+}
+
+fn free_address() -> Result<SocketAddr, String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    listener.local_addr().map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/examples/scenario/load.rs
@@ -0,0 +1,175 @@
+//! Callers: bounded open-loop load, with resends as a careful caller would do them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future;
+use async_std::net::TcpStream;
+use async_std::task;
+use async_std::task::JoinHandle;
+use tide::http::Method;
+use tide::http::Request;
+use tide::http::Url;
+
+/// Longest wait of a caller for one answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// Tries of one request; a careful caller gives up after these.
+const TRIES: usize = 6;
+const RESEND_PAUSE: Duration = Duration::from_millis(300);
+
+/// What one try brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Seen {
+    /// The whole answer of an upstream.
+    Answered,
+    /// A refusal with its number that says "not run".
+    NotRun(u16),
+    /// An answer of the system that doesn't say "not run".
+    Unknown(u16),
+    /// No connection, no answer or a cut answer.
+    Nothing,
+}
+
+/// One request with all its tries.
+#[derive(Debug, Clone)]
+pub(crate) struct Record {
+    pub(crate) path: String,
+    pub(crate) start: Instant,
+    pub(crate) latency: Duration,
+    pub(crate) tries: Vec<Seen>,
+}
+
+/// What to send.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    pub(crate) name: String,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) key: Option<String>,
+    pub(crate) rate: u64,
+    pub(crate) time: Duration,
+    pub(crate) with_id: bool,
+    pub(crate) resend: bool,
+    pub(crate) entries: Vec<SocketAddr>,
+}
+
+/// A running or ended load.
+pub(crate) struct Load {
+    pub(crate) plan: Plan,
+    records: Arc<Mutex<Vec<Record>>>,
+    task: Option<JoinHandle<()>>,
+}
+
+impl Load {
+    pub(crate) fn spawn(plan: Plan) -> Self {
+        let records = Arc::new(Mutex::new(Vec::new()));
+        let task = task::spawn(run(plan.clone(), Arc::clone(&records)));
+        Self {
+            plan,
+            records,
+            task: Some(task),
+        }
+    }
+
+    pub(crate) async fn join(&mut self) {
+        if let Some(task) = self.task.take() {
+            task.await;
+        }
+    }
+
+    pub(crate) fn records(&self) -> Vec<Record> {
+        self.records.lock().unwrap().clone()
+    }
+
+    /// Counts the final result of each request, by name or number.
+    pub(crate) fn summary(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for record in self.records() {
+            let name = match record.tries.last() {
+                Some(Seen::Answered) => "answered".into(),
+                Some(Seen::NotRun(code) | Seen::Unknown(code)) => code.to_string(),
+                Some(Seen::Nothing) | None => "nothing".into(),
+            };
+            *counts.entry(name).or_default() += 1;
+        }
+        counts
+    }
+}
+
+async fn run(plan: Plan, records: Arc<Mutex<Vec<Record>>>) {
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    let total = plan.rate as f64 * plan.time.as_secs_f64();
+    for n in 0..total as u64 {
+        let due = Duration::from_secs_f64(n as f64 / plan.rate as f64);
+        task::sleep(due.saturating_sub(start.elapsed())).await;
+        tasks.push(task::spawn(request(plan.clone(), n, Arc::clone(&records))));
+    }
+    for task in tasks {
+        task.await;
+    }
+}
+
+async fn request(plan: Plan, n: u64, records: Arc<Mutex<Vec<Record>>>) {
+    let path = format!("{}/{}-{n}", plan.path, plan.name);
+    let start = Instant::now();
+    let mut tries = Vec::new();
+    while tries.len() < TRIES {
+        let entry = plan.entries[(n as usize + tries.len()) % plan.entries.len()];
+        let seen = future::timeout(ANSWER_LIMIT, send(&plan, &path, entry))
+            .await
+            .unwrap_or(Seen::Nothing);
+        tries.push(seen);
+        // Sending a non-idempotent request without an id again could run it twice.
+        let is_safe = plan.with_id || plan.method != Method::Post || matches!(seen, Seen::NotRun(_));
+        if seen == Seen::Answered || !plan.resend || !is_safe || is_final(seen) {
+            break;
+        }
+        task::sleep(RESEND_PAUSE).await;
+    }
+    records.lock().unwrap().push(Record {
+        path,
+        start,
+        latency: start.elapsed(),
+        tries,
+    });
+}
+
+/// Refusals that another try cannot change.
+fn is_final(seen: Seen) -> bool {
+    matches!(seen, Seen::NotRun(101..=105 | 110 | 111 | 114..=120))
+}
+
+async fn send(plan: &Plan, path: &str, entry: SocketAddr) -> Seen {
+    exchange(plan, path, entry).await.unwrap_or(Seen::Nothing)
+}
+
+async fn exchange(plan: &Plan, path: &str, entry: SocketAddr) -> tide::http::Result<Seen> {
+    let stream = TcpStream::connect(entry).await?;
+    let mut request = Request::new(plan.method, Url::parse(&format!("http://{entry}{path}"))?);
+    if let Some(key) = &plan.key {
+        request.insert_header("authorization", format!("Bearer {key}"));
+    }
+    if plan.with_id {
+        request.insert_header("idempotency-key", path.replace('/', "."));
+    }
+    request.insert_header("connection", "close");
+    let mut response = async_h1::connect(stream, request).await?;
+    let header = |name: &str| response.header(name).map(|h| h.as_str().to_owned());
+    let (run, code) = (header("zinnia-run"), header("zinnia-code"));
+    let code = code.and_then(|c| c.parse().ok()).unwrap_or(0);
+    let length = response.len();
+    let body = response.body_bytes().await?;
+    // async-h1 reports a body that ends before its content-length as complete.
+    let is_cut = length.is_some_and(|l| l != body.len());
+    Ok(match run.as_deref() {
+        _ if is_cut => Seen::Nothing,
+        Some("no") => Seen::NotRun(code),
+        Some("yes") if code == 0 => Seen::Answered,
+        _ => Seen::Unknown(code),
+    })
+}
