--- /dev/null
+++ b/src/bin/zinnia-entry/app.rs
@@ -0,0 +1,98 @@
+//! Command line, set-up and stop of the entry process.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use async_std::task;
+use futures::StreamExt;
+use log::info;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook_async_std::Signals;
+
+use zinnialoom::code::Code;
+use zinnialoom::entry::Entry;
+use zinnialoom::error::Error;
+use zinnialoom::error::Result;
+use zinnialoom::logger;
+use zinnialoom::secret::Secret;
+use zinnialoom::settings;
+use zinnialoom::settings::EntrySettings;
+
+/// Entry VM: takes the requests of callers to healthy upstreams.
+#[derive(FromArgs)]
+#[argh(
+    example = "{command_name} --settings /etc/zinnia/entry.json",
+    error_code(1, "a part of the process failed"),
+    error_code(2, "the command line or the settings are not valid"),
+    error_code(3, "a file cannot be read, or an address cannot be bound")
+)]
+struct Flags {
+    /// settings file, JSON
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// check the settings and the secret file, then exit
+    #[argh(switch)]
+    check: bool,
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+}
+
+/// Runs the process and returns its exit code.
+pub fn run() -> i32 {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (name, rest) = words.split_first().unwrap_or((&"zinnia-entry", &[]));
+    let flags = match Flags::from_args(&[name], rest) {
+        Ok(flags) => flags,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return Code::Ok.exit();
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return Code::BadParams.exit();
+        }
+    };
+    match task::block_on(execute(&flags)) {
+        Ok(()) => Code::Ok.exit(),
+        Err(e) => {
+            eprintln!("zinnia-entry: {e}");
+            e.code.exit()
+        }
+    }
+}
+
+async fn execute(flags: &Flags) -> Result<()> {
+    if flags.version {
+        println!("zinnia-entry {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let path = flags
+        .settings
+        .as_ref()
+        .ok_or_else(|| Error::new(Code::BadParams, "--settings FILE is missing"))?;
+    let settings = settings::open(path, settings::check_entry)?;
+    let secret = Secret::open(&settings.common.fleet_secret)?;
+    if flags.check {
+        println!("{}: valid", path.display());
+        return Ok(());
+    }
+    logger::open(&settings.common)?;
+    serve(&settings, secret).await
+}
+
+async fn serve(settings: &EntrySettings, secret: Secret) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| Error::io("signals", &e))?;
+    let entry = Entry::open(settings, secret).await?;
+    info!(
+        "entry VM {} answers callers on {}",
+        settings.common.vm,
+        entry.caller()
+    );
+    let signal = signals.next().await.unwrap_or_default();
+    info!("stopping on signal {signal}");
+    entry.stop().await;
+    Ok(())
+}
--- a/src/clients.rs
+++ b/src/clients.rs
@@ -1,10 +1,12 @@
 //! RPC clients of other processes, one for each address.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use crate::id::VmName;
 use crate::rpc::Client;
 use crate::secret::Secret;
 
@@ -12,6 +14,7 @@
 pub struct Clients {
     secret: Secret,
     list: Mutex<HashMap<SocketAddr, Arc<Client>>>,
+    callers: Mutex<BTreeMap<VmName, SocketAddr>>,
 }
 
 impl Clients {
@@ -20,6 +23,7 @@
         Self {
             secret,
             list: Mutex::default(),
+            callers: Mutex::default(),
         }
     }
 
@@ -32,6 +36,17 @@
         Arc::clone(client)
     }
 
+    /// Takes note of where a VM that called this one answers calls.
+    pub fn notice(&self, vm: &VmName, address: SocketAddr) {
+        self.callers.lock().unwrap().insert(vm.clone(), address);
+    }
+
+    /// Addresses of VMs that called this one. A restarted VM knows no others before it has a
+    /// configuration.
+    pub fn noticed(&self) -> Vec<SocketAddr> {
+        self.callers.lock().unwrap().values().copied().collect()
+    }
+
     /// Forgets the clients of addresses that are no longer in use.
     pub fn retain(&self, is_used: impl Fn(&SocketAddr) -> bool) {
         self.list.lock().unwrap().retain(|address, _| is_used(address));
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -27,9 +27,16 @@
 
 /// Selects from the live VMs: up to 5 of the caller's failure domain first, then others.
 pub fn select(live: &[LiveVm], domain: Option<&str>, ttl: Duration, random: &mut impl Rng) -> Addresses {
+    // A stale VM refuses keyed requests, so it is named only while there is no other.
+    let able: Vec<&LiveVm> = live.iter().filter(|vm| !vm.stale).collect();
+    let live = if able.is_empty() {
+        live.iter().collect()
+    } else {
+        able
+    };
     let is_near = |vm: &&LiveVm| domain.is_some_and(|d| vm.place.domain == d);
-    let mut near: Vec<&LiveVm> = live.iter().filter(is_near).collect();
-    let mut far: Vec<&LiveVm> = live.iter().filter(|vm| !is_near(vm)).collect();
+    let mut near: Vec<&LiveVm> = live.iter().copied().filter(is_near).collect();
+    let mut far: Vec<&LiveVm> = live.iter().copied().filter(|vm| !is_near(vm)).collect();
     let near_count = near.len().min(NEAR.max(MOST.saturating_sub(far.len())));
     let mut addresses = Vec::with_capacity(MOST);
     while addresses.len() < near_count {
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,220 @@
+//! Wires the services of an entry process together.
+
+mod ports;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use async_std::task;
+use jsonrpsee::RpcModule;
+use log::info;
+use log::warn;
+
+use crate::claims::FleetClaims;
+use crate::clients::Clients;
+use crate::crashes::FleetQuarantine;
+use crate::entry::ports::AddressBook;
+use crate::entry::ports::PeerPort;
+use crate::error::Result;
+use crate::event;
+use crate::event::About;
+use crate::event::Kind;
+use crate::fault;
+use crate::feed;
+use crate::feed::Feed;
+use crate::gossip::Me;
+use crate::gossip::Membership;
+use crate::http;
+use crate::http::Running;
+use crate::id::Incarnation;
+use crate::kernel::Kernel;
+use crate::limits::FleetLimits;
+use crate::proxy::Parts;
+use crate::proxy::Proxy;
+use crate::proxy::ProxySettings;
+use crate::proxy::Stages;
+use crate::rpc;
+use crate::secret::Secret;
+use crate::settings::EntrySettings;
+use crate::timer::Timer;
+use crate::upstreams::Upstreams;
+
+/// Open connections of other processes and upstreams at most.
+const PEER_CONNECTIONS: usize = 2_000;
+/// How long the start waits for control to say which run of this VM registered last.
+const EARLIER_LIMIT: Duration = Duration::from_secs(5);
+/// How long a stop waits for requests after the address time to live; the longest request limit of
+/// the settings is added.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
+type Members = Membership<Feed>;
+type Rates = FleetLimits<Feed, Members>;
+
+/// The parts of the request path of an entry process.
+pub struct EntryStages;
+
+impl Stages for EntryStages {
+    type Config = Feed;
+    type Limits = Rates;
+    type Claims = FleetClaims<Feed>;
+    type Chooser = Upstreams<Feed, Rates>;
+    type Quarantine = FleetQuarantine<Feed>;
+    type Directory = AddressBook;
+}
+
+/// A running entry process.
+pub struct Entry {
+    kernel: Kernel,
+    members: Arc<Members>,
+    proxy: Proxy<EntryStages>,
+    caller: Running,
+    peer: Running,
+    ttl: Duration,
+    limit: Duration,
+}
+
+impl Entry {
+    /// Starts all services and opens both ports.
+    ///
+    /// # Errors
+    /// `Bind` if an address cannot be bound, `Kernel` if a part is there twice.
+    pub async fn open(settings: &EntrySettings, secret: Secret) -> Result<Self> {
+        let common = &settings.common;
+        event::open(&common.vm, &common.domain, common.event_count);
+        let clients = Arc::new(Clients::new(secret.clone()));
+        let earlier = feed::find_earlier(&common.vm, &common.control, &clients, EARLIER_LIMIT).await;
+        let me = Me {
+            vm: common.vm.clone(),
+            domain: common.domain.clone(),
+            peer: settings.peer,
+            incarnation: next_incarnation(earlier.incarnation),
+        };
+        let is_first = earlier.is_known && earlier.incarnation.is_none();
+        let seed = rand::random();
+
+        let kernel = Kernel::new();
+        let timer = kernel.register(Timer::spawn())?;
+        let feed = kernel.register(Feed::spawn(settings, &me, Arc::clone(&clients), &timer))?;
+        let members = Membership::spawn(&me, seed, Arc::clone(&feed), Arc::clone(&clients), &timer);
+        let members = kernel.register(members)?;
+        let limits = kernel.register(FleetLimits::spawn(
+            me.vm.clone(),
+            me.incarnation,
+            secret.clone(),
+            Arc::clone(&feed),
+            Arc::clone(&members),
+            &timer,
+        ))?;
+        let claims = kernel.register(FleetClaims::spawn(
+            me.vm.clone(),
+            me.incarnation,
+            is_first,
+            secret.clone(),
+            Arc::clone(&feed),
+            &timer,
+        ))?;
+        let quarantine =
+            FleetQuarantine::spawn(me.vm.clone(), me.incarnation, secret.clone(), Arc::clone(&feed));
+        let quarantine = kernel.register(quarantine)?;
+        let chooser = kernel.register(Upstreams::spawn(
+            &me,
+            seed,
+            Arc::clone(&feed),
+            Arc::clone(&members),
+            Arc::clone(&limits),
+            clients,
+            &timer,
+        ))?;
+
+        let mut module = RpcModule::new(());
+        feed.register(&mut module)?;
+        members.register(&mut module)?;
+        limits.register(&mut module)?;
+        claims.register(&mut module)?;
+        quarantine.register(&mut module)?;
+        chooser.register(&mut module)?;
+        event::register(&mut module)?;
+        fault::register(&mut module)?;
+        let port = PeerPort::new(rpc::Server::new(module, secret), Arc::clone(&members));
+        let peer = http::bind(settings.peer, peer_limits(settings), Arc::new(port)).await?;
+
+        let parts = Parts {
+            config: feed,
+            limits,
+            claims,
+            chooser,
+            quarantine,
+            directory: Arc::new(AddressBook::new(Arc::clone(&members), settings.address_ttl, seed)),
+        };
+        let proxy = Proxy::spawn(
+            parts,
+            ProxySettings::from(settings),
+            prometheus::default_registry(),
+        )?;
+        let caller = http::bind(settings.caller, caller_limits(settings), Arc::new(proxy.clone())).await?;
+        event::record(
+            Kind::Started,
+            About::detail(format!("incarnation {}", me.incarnation)),
+        );
+        Ok(Self {
+            kernel,
+            members,
+            proxy,
+            caller,
+            peer,
+            ttl: settings.address_ttl,
+            limit: settings.request_limit + STOP_LIMIT,
+        })
+    }
+
+    /// Address that answers callers.
+    pub fn caller(&self) -> SocketAddr {
+        self.caller.address()
+    }
+
+    /// Leaves the directory, serves on for the address time to live, finishes what runs and ends.
+    pub async fn stop(&self) {
+        event::record(Kind::Stopping, About::default());
+        self.members.leave();
+        self.caller.drain();
+        task::sleep(self.ttl).await;
+        let open = self.caller.stop(self.limit).await;
+        let running = self.proxy.stop(self.limit).await;
+        if open + running > 0 {
+            warn!(
+                "{open} connections and {running} requests are cut after {:?}",
+                self.limit
+            );
+        }
+        self.peer.stop(STOP_LIMIT).await;
+        self.kernel.stop().await;
+        event::record(Kind::Stopped, About::default());
+        info!("stopped");
+    }
+}
+
+/// Wall-clock milliseconds, or more if an earlier run had a larger number.
+fn next_incarnation(earlier: Option<Incarnation>) -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let millis = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    earlier.map_or(millis, |e| millis.max(e + 1))
+}
+
+fn caller_limits(settings: &EntrySettings) -> http::Limits {
+    http::Limits {
+        connections: settings.connections,
+        read: settings.read_limit,
+        ..http::Limits::default()
+    }
+}
+
+fn peer_limits(settings: &EntrySettings) -> http::Limits {
+    http::Limits {
+        connections: PEER_CONNECTIONS,
+        read: settings.read_limit,
+        ..http::Limits::default()
+    }
+}
--- /dev/null
+++ b/src/entry/ports.rs
@@ -0,0 +1,159 @@
+//! What the two ports of an entry process answer besides the requests of callers.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_std::io::ReadExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tide::StatusCode;
+use tide::http::Method;
+use tide::http::Request;
+use tide::http::Response;
+use tide::http::mime;
+
+use crate::answer;
+use crate::code::Code;
+use crate::directory;
+use crate::error::Error;
+use crate::error::Result;
+use crate::feed::Feed;
+use crate::gossip::Membership;
+use crate::http::Caller;
+use crate::http::Handler;
+use crate::member::Announcement;
+use crate::metric;
+use crate::proxy::Directory;
+use crate::rpc;
+
+/// Largest announcement, in bytes.
+const ANNOUNCEMENT_BYTES: u64 = 16 << 10;
+
+/// Answers `GET /.zinnia/addresses` on the caller port.
+pub struct AddressBook {
+    members: Arc<Membership<Feed>>,
+    ttl: Duration,
+    random: Mutex<SmallRng>,
+}
+
+impl AddressBook {
+    /// A directory of the live members.
+    pub fn new(members: Arc<Membership<Feed>>, ttl: Duration, seed: u64) -> Self {
+        Self {
+            members,
+            ttl,
+            random: Mutex::new(SmallRng::seed_from_u64(seed)),
+        }
+    }
+}
+
+impl Directory for AddressBook {
+    async fn respond(&self, request: Request) -> Response {
+        if request.url().path() != directory::PATH || request.method() != Method::Get {
+            return answer::refusal(&Code::NoRoute.into());
+        }
+        let domain = directory::query_domain(request.url().query());
+        let live = self.members.live();
+        let mut random = self.random.lock().unwrap();
+        let addresses = directory::select(&live, domain.as_deref(), self.ttl, &mut *random);
+        json(
+            StatusCode::Ok,
+            &serde_json::to_string(&addresses).unwrap_or_default(),
+        )
+    }
+}
+
+struct State {
+    server: rpc::Server,
+    members: Arc<Membership<Feed>>,
+}
+
+/// Answers calls of other processes, announcements and `/metrics` on the peer port.
+pub struct PeerPort {
+    app: tide::Server<Arc<State>>,
+}
+
+impl PeerPort {
+    /// A peer port with the methods of a server.
+    pub fn new(server: rpc::Server, members: Arc<Membership<Feed>>) -> Self {
+        let mut app = tide::with_state(Arc::new(State { server, members }));
+        app.at("/rpc").post(call);
+        app.at("/announce").post(announce);
+        app.at("/metrics").get(metrics);
+        Self { app }
+    }
+}
+
+impl Handler for PeerPort {
+    async fn respond(&self, request: Request, _caller: Caller) -> Response {
+        let answered: tide::http::Result<Response> = self.app.respond(request).await;
+        answered.unwrap_or_else(|e| Response::new(e.status()))
+    }
+}
+
+async fn call(request: tide::Request<Arc<State>>) -> tide::Result {
+    let state = Arc::clone(request.state());
+    let request: Request = request.into();
+    match request.len() {
+        None => Ok(tide::Response::new(StatusCode::LengthRequired)),
+        Some(length) if length > rpc::BODY_LIMIT => Ok(tide::Response::new(StatusCode::PayloadTooLarge)),
+        Some(_) => Ok(state.server.respond(request).await.into()),
+    }
+}
+
+async fn announce(request: tide::Request<Arc<State>>) -> tide::Result {
+    let state = Arc::clone(request.state());
+    let header = request.header("authorization").map(|h| h.as_str().to_owned());
+    let response = match read_announcement(request.into()).await {
+        Ok(announcement) => match state.members.announce(header.as_deref(), announcement) {
+            Ok(()) => json(StatusCode::Ok, "{}"),
+            Err(error) => fault(&error),
+        },
+        Err(error) => fault(&error),
+    };
+    Ok(response.into())
+}
+
+async fn metrics(_: tide::Request<Arc<State>>) -> tide::Result {
+    Ok(tide::Response::builder(StatusCode::Ok)
+        .content_type(metric::CONTENT_TYPE)
+        .body(metric::text())
+        .build())
+}
+
+async fn read_announcement(mut request: Request) -> Result<Announcement> {
+    let bad = |detail: String| Error::new(Code::BadParams, detail);
+    let mut bytes = Vec::new();
+    let mut body = request.take_body().take(ANNOUNCEMENT_BYTES + 1);
+    body.read_to_end(&mut bytes)
+        .await
+        .map_err(|e| bad(e.to_string()))?;
+    if bytes.len() as u64 > ANNOUNCEMENT_BYTES {
+        return Err(bad(format!(
+            "the announcement is larger than {ANNOUNCEMENT_BYTES} bytes"
+        )));
+    }
+    serde_json::from_slice(&bytes).map_err(|e| bad(e.to_string()))
+}
+
+fn fault(error: &Error) -> Response {
+    let status = match error.code {
+        Code::Unauthorized => StatusCode::Unauthorized,
+        Code::NotFound => StatusCode::NotFound,
+        _ => StatusCode::BadRequest,
+    };
+    let body = serde_json::json!({
+        "code": error.code.number(),
+        "name": error.code.to_string(),
+        "detail": error.detail,
+    });
+    json(status, &body.to_string())
+}
+
+fn json(status: StatusCode, body: &str) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(body);
+    response.set_content_type(mime::JSON);
+    response
+}
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -27,6 +27,7 @@
 use crate::id::VmName;
 use crate::job::Jobs;
 use crate::kernel::Service;
+use crate::limits::Alive;
 use crate::member::Announcement;
 use crate::member::GOSSIP_PERIOD;
 use crate::member::Gossip;
@@ -64,8 +65,6 @@
     core: Mutex<Members>,
     config: Arc<C>,
     clients: Arc<Clients>,
-    /// Addresses of VMs that called, also before the configuration names them.
-    callers: Mutex<BTreeMap<VmName, SocketAddr>>,
     load: AtomicU32,
     seen: Mutex<Seen>,
 }
@@ -91,7 +90,6 @@
             core: Mutex::new(core),
             config,
             clients,
-            callers: Mutex::default(),
             load: AtomicU32::new(0),
             seen: Mutex::default(),
         });
@@ -160,6 +158,12 @@
         self.shared.core.lock().unwrap().live(Instant::now())
     }
 
+    /// Names of live VMs that can take over leases, in ascending order.
+    pub fn able(&self, now: Instant) -> Vec<VmName> {
+        let live = self.shared.core.lock().unwrap().live(now);
+        live.into_iter().filter(|l| !l.stale).map(|l| l.vm).collect()
+    }
+
     /// Upstreams that were heard of recently, and when.
     pub fn upstreams(&self) -> Vec<(Announcement, Instant)> {
         let core = self.shared.core.lock().unwrap();
@@ -182,10 +186,11 @@
     pub fn set_load(&self, requests: u32) {
         self.shared.load.store(requests, Ordering::Relaxed);
     }
+}
 
-    /// Addresses of VMs that called this one; sources of the configuration at a cold start.
-    pub fn callers(&self) -> Vec<SocketAddr> {
-        self.shared.callers.lock().unwrap().values().copied().collect()
+impl<C: Config> Alive for Membership<C> {
+    fn alive(&self, now: Instant) -> Vec<VmName> {
+        self.able(now)
     }
 }
 
@@ -204,7 +209,7 @@
         let chosen = {
             let mut core = self.core.lock().unwrap();
             core.set_places(places(&view));
-            core.tick(now, load, view.version)
+            core.tick(now, load, view.version, !self.config.is_fresh(now))
         };
         self.record(now);
         for peer in chosen {
@@ -241,7 +246,7 @@
     fn answer(&self, message: Gossip) -> Gossip {
         let now = Instant::now();
         let from = message.from.clone();
-        self.callers.lock().unwrap().insert(from.clone(), message.address);
+        self.clients.notice(&from, message.address);
         let mut core = self.core.lock().unwrap();
         core.receive(message, now);
         core.message(&from, now)
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -1,5 +1,7 @@
 //! Service around the lease and grant cores: admits requests within the customer's rate and burst.
 
+mod leases;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
--- /dev/null
+++ b/src/limits/leases.rs
@@ -0,0 +1,33 @@
+//! The leases of this VM as the arbiters of the services use them.
+
+use std::time::Instant;
+
+use crate::id::VmName;
+use crate::lease::PARTITIONS;
+use crate::limits::Alive;
+use crate::limits::FleetLimits;
+use crate::rendezvous;
+use crate::stage::Config;
+use crate::upstreams::Leases;
+
+impl<C: Config, A: Alive> Leases for FleetLimits<C, A> {
+    fn partition(&self, name: &str) -> u32 {
+        let hash = rendezvous::hash(&[b"service", name.as_bytes()]);
+        u32::try_from(hash % u64::from(PARTITIONS)).unwrap_or_default()
+    }
+
+    fn held_since(&self, partition: u32, now: Instant) -> Option<Instant> {
+        let ownership = self.inner.ownership.lock().unwrap();
+        ownership.holder.held(now, partition).map(|lease| lease.since)
+    }
+
+    fn candidates(&self, partition: u32) -> Vec<VmName> {
+        let ownership = self.inner.ownership.lock().unwrap();
+        ownership
+            .placement
+            .owner(partition)
+            .cloned()
+            .into_iter()
+            .collect()
+    }
+}
--- a/src/member.rs
+++ b/src/member.rs
@@ -87,6 +87,9 @@
     /// Whether the VM is stopping.
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
+    /// Whether the VM cannot confirm its configuration.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub stale: bool,
     /// Requests in flight at the VM.
     #[serde(rename = "q")]
     pub load: u32,
@@ -171,6 +174,8 @@
     pub place: Place,
     /// Requests in flight there.
     pub load: u32,
+    /// Whether it cannot confirm its configuration.
+    pub stale: bool,
 }
 
 /// Membership and announcements as one VM knows them.
@@ -194,6 +199,7 @@
             incarnation,
             count: 1,
             leaving: false,
+            stale: true,
             load: 0,
             version: 0,
         };
@@ -222,8 +228,9 @@
     }
 
     /// Advances the own heartbeat and selects the peers of this round.
-    pub fn tick(&mut self, now: Instant, load: u32, version: Version) -> Vec<VmName> {
+    pub fn tick(&mut self, now: Instant, load: u32, version: Version, stale: bool) -> Vec<VmName> {
         self.beat(now, |beat| {
+            beat.stale = stale;
             beat.load = load;
             beat.version = version;
         });
@@ -349,6 +356,7 @@
                 vm: vm.clone(),
                 place: place.clone(),
                 load: self.last_beat(vm).map_or(0, |b| b.load),
+                stale: self.last_beat(vm).is_none_or(|b| b.stale),
             })
             .collect()
     }
