--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,10 @@
 pub mod code;
 pub mod error;
 pub mod id;
+pub mod journal;
 pub mod kernel;
+pub mod replica;
+pub mod replication;
 pub mod rpc;
 pub mod secret;
 pub mod settings;
