--- a/src/bin/zinnia-control/app.rs
+++ b/src/bin/zinnia-control/app.rs
@@ -7,6 +7,7 @@
 
 use argh::FromArgs;
 use async_std::task;
+use futures::FutureExt;
 use futures::StreamExt;
 use log::LevelFilter;
 use log::info;
@@ -95,11 +96,16 @@
         settings.common.vm,
         control.address()
     );
-    let signal = signals.next().await.unwrap_or_default();
-    info!("stopping on signal {signal}");
+    let failure = futures::select_biased! {
+        signal = signals.next().fuse() => {
+            info!("stopping on signal {}", signal.unwrap_or_default());
+            None
+        }
+        failure = control.failed().fuse() => Some(failure),
+    };
     control.stop().await;
     info!("stopped");
-    Ok(())
+    failure.map_or(Ok(()), Err)
 }
 
 fn start_log() -> Result<()> {
--- a/src/control.rs
+++ b/src/control.rs
@@ -30,8 +30,8 @@
 use crate::kernel::Service;
 use crate::operator::Operator;
 use crate::operator::OperatorService;
+use crate::replica::Role;
 use crate::replication::Replication;
-use crate::replication::Role;
 use crate::rpc;
 use crate::rpc::BODY_LIMIT;
 use crate::secret::Secret;
@@ -44,12 +44,15 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 /// How long a stop waits for calls in progress; longer than a forwarded call may take.
 const STOP_LIMIT: Duration = Duration::from_secs(15);
+/// How often the process looks whether its replica has stopped by itself.
+const FAILURE_PERIOD: Duration = Duration::from_millis(200);
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A running control process.
 pub struct Control {
     kernel: Kernel,
+    replication: Arc<Replication<Catalog>>,
     address: SocketAddr,
 }
 
@@ -117,13 +120,14 @@
             operators: rpc::Server::new(operator.operator_module()?, operator_secret),
             processes: rpc::Server::new(processes, fleet_secret),
             operator,
-            replication,
+            replication: Arc::clone(&replication),
             gauges: Gauges::register(&registry)?,
             registry,
         };
         let front = kernel.register(Front::spawn(listener, app(state)))?;
         Ok(Self {
             address: front.address,
+            replication,
             kernel,
         })
     }
@@ -133,6 +137,16 @@
         self.address
     }
 
+    /// Waits until the replica stops by itself, because its disk failed or a file is damaged.
+    pub async fn failed(&self) -> Error {
+        loop {
+            if let Some(error) = self.replication.failure() {
+                return error;
+            }
+            task::sleep(FAILURE_PERIOD).await;
+        }
+    }
+
     /// Finishes the calls in progress and stops all services.
     pub async fn stop(&self) {
         self.kernel.stop().await;
--- a/src/operator/params.rs
+++ b/src/operator/params.rs
@@ -363,6 +363,10 @@
     pub commit: Index,
     /// Last applied index.
     pub applied: Index,
+    /// Replicas that count for majorities.
+    pub voters: Vec<VmName>,
+    /// Replicas that are being caught up.
+    pub learners: Vec<VmName>,
     /// Version of the configuration at this replica.
     pub version: Version,
     /// Which VMs have acknowledged the version; `null` if the leader does not answer.
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,176 @@
+//! Control replicas in this process, on free loopback ports and a temporary folder.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+
+use zinnialoom::code::Code;
+use zinnialoom::control::Control;
+use zinnialoom::error::Error;
+use zinnialoom::rpc::Client;
+use zinnialoom::rpc::fault_error;
+use zinnialoom::secret::Secret;
+use zinnialoom::settings::ControlSettings;
+use zinnialoom::settings::check_control;
+
+pub const OPERATOR: &str = "operator-secret-of-the-tests";
+pub const FLEET: &str = "fleet-secret-of-the-tests";
+const WAIT: Duration = Duration::from_secs(20);
+const CALL: Duration = Duration::from_secs(15);
+
+/// Up to a few control replicas; each can be stopped and started again on its files.
+pub struct Fleet {
+    folder: TempDir,
+    addresses: Vec<SocketAddr>,
+    running: Vec<Option<Control>>,
+}
+
+fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let held: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    held.iter().map(|l| l.local_addr().unwrap()).collect()
+}
+
+#[allow(dead_code)]
+impl Fleet {
+    /// Starts the replicas and waits for a leader.
+    pub async fn start(count: usize) -> Self {
+        let folder = TempDir::new().unwrap();
+        std::fs::write(folder.path().join("operator"), OPERATOR).unwrap();
+        std::fs::write(folder.path().join("fleet"), FLEET).unwrap();
+        let mut fleet = Self {
+            folder,
+            addresses: free_ports(count),
+            running: (0..count).map(|_| None).collect(),
+        };
+        for n in 0..count {
+            fleet.open(n).await;
+        }
+        fleet.leader().await;
+        fleet
+    }
+
+    /// The settings text of a replica.
+    pub fn text(&self, n: usize) -> String {
+        let path = |name: &str| self.folder.path().join(name);
+        let peer = |(n, a): (usize, &SocketAddr)| json!({"vm": format!("c{n}"), "address": a});
+        let control: Vec<Value> = self.addresses.iter().enumerate().map(peer).collect();
+        json!({
+            "vm": format!("c{n}"), "domain": format!("d{n}"), "control": control,
+            "bind": self.addresses[n], "data": path(&format!("data{n}")),
+            "fleet_secret": path("fleet"), "operator_secret": path("operator"),
+            "heartbeat_ms": 50, "election_ms": 300,
+        })
+        .to_string()
+    }
+
+    pub fn settings(&self, n: usize) -> ControlSettings {
+        check_control(&self.text(n)).unwrap()
+    }
+
+    /// Starts a replica on its files.
+    pub async fn open(&mut self, n: usize) {
+        self.running[n] = Some(Control::open(&self.settings(n)).await.unwrap());
+    }
+
+    /// Stops a replica.
+    pub async fn close(&mut self, n: usize) {
+        self.running[n].take().unwrap().stop().await;
+    }
+
+    pub fn client(&self, n: usize, secret: &str) -> Client {
+        Client::new(self.addresses[n], Secret::new(secret))
+    }
+
+    /// Calls one replica; an error keeps its data.
+    pub async fn call_at(&self, n: usize, secret: &str, method: &str, params: &Value) -> Reply {
+        let reply = self.client(n, secret).request(method, params, CALL).await;
+        reply.map_err(Refusal::from)?.map_err(|fault| Refusal {
+            number: fault.code(),
+            data: fault
+                .data()
+                .map_or(Value::Null, |d| serde_json::from_str(d.get()).unwrap()),
+            error: fault_error(fault),
+        })
+    }
+
+    /// Calls the running replicas in turn until one answers as or for the leader.
+    pub async fn call(&self, method: &str, params: &Value) -> Reply {
+        let secret = match method {
+            "config.fetch" | "vm.join" => FLEET,
+            _ => OPERATOR,
+        };
+        let end = Instant::now() + WAIT;
+        loop {
+            for n in self.up() {
+                let reply = self.call_at(n, secret, method, params).await;
+                let again = |r: &Refusal| matches!(r.error.code, Code::NotLeader | Code::Unreachable);
+                if !reply.as_ref().is_err_and(again) {
+                    return reply;
+                }
+            }
+            assert!(Instant::now() < end, "{method}: no leader answered");
+            task::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub fn up(&self) -> Vec<usize> {
+        (0..self.running.len())
+            .filter(|n| self.running[*n].is_some())
+            .collect()
+    }
+
+    /// The replica that leads and whose lead all running replicas know.
+    pub async fn leader(&self) -> usize {
+        let end = Instant::now() + WAIT;
+        loop {
+            let mut leaders = Vec::new();
+            for n in self.up() {
+                let status = self.call_at(n, OPERATOR, "status", &json!({})).await;
+                leaders.push(status.ok().and_then(|s| s["leader"].as_str().map(str::to_owned)));
+            }
+            if let Some(Some(name)) = leaders.first() {
+                let n: usize = name[1..].parse().unwrap();
+                if self.running[n].is_some() && leaders.iter().all(|l| l.as_ref() == Some(name)) {
+                    return n;
+                }
+            }
+            assert!(Instant::now() < end, "no leader: {leaders:?}");
+            task::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+pub type Reply = Result<Value, Refusal>;
+
+/// An error object or a failed call.
+#[allow(dead_code)]
+#[derive(Debug)]
+pub struct Refusal {
+    pub number: i32,
+    pub data: Value,
+    pub error: Error,
+}
+
+impl From<Error> for Refusal {
+    fn from(error: Error) -> Self {
+        Self {
+            number: error.code.number().into(),
+            data: Value::Null,
+            error,
+        }
+    }
+}
+
+/// The code of a refusal; panics on success.
+#[allow(dead_code)]
+pub fn code(reply: &Reply) -> Code {
+    reply.as_ref().unwrap_err().error.code
+}
