--- a/src/operator/show.rs
+++ b/src/operator/show.rs
@@ -9,6 +9,7 @@
 use crate::catalog::change::Fault;
 use crate::code::Code;
 use crate::error::Error;
+use crate::id::VmName;
 use crate::operator::Operator;
 use crate::operator::acks::InForce;
 use crate::operator::params::CustomerShown;
@@ -30,6 +31,7 @@
 use crate::operator::params::Waited;
 use crate::operator::table::Place;
 use crate::operator::table::Table;
+use crate::replica::Member;
 use crate::view::Key;
 use crate::view::ServiceRecord;
 use crate::view::View;
@@ -199,6 +201,8 @@
         leader: status.leader,
         commit: status.commit,
         applied: status.applied,
+        voters: names(&status.membership.voters),
+        learners: names(&status.membership.learners),
         version: view.version,
         in_force: operator.leader_in_force(view.version).await,
         witnesses: view.witnesses.clone(),
@@ -210,6 +214,10 @@
     })
 }
 
+fn names(members: &[Member]) -> Vec<VmName> {
+    members.iter().map(|m| m.vm.clone()).collect()
+}
+
 fn out_of_range(field: &str, detail: String) -> ErrorObjectOwned {
     let fault = Fault::field(field, detail);
     let data = serde_json::json!({"field": field});
