Test answers, at-most-once sending and verdicts against journals

A long answer to a slow caller could look cut: the message that ends it was dropped when the channel to the caller's connection was full. It is now awaited.

--- a/src/proxy/stream.rs
+++ b/src/proxy/stream.rs
@@ -85,15 +85,21 @@
     let mut kept = Some(Vec::new());
     let attempt = read(&mut open, &sender, &mut kept).await;
     let shared = &busy.0;
-    if matches!(attempt, Attempt::Answered | Attempt::Failed) {
+    let whole = matches!(attempt, Attempt::Answered | Attempt::Failed);
+    if whole {
         keep(shared, &open.reply, &open.frame, open.conn);
-        let _ = sender.try_send(Part::End);
-    } else {
-        kept = None;
     }
     open.flight.end(attempt);
-    let ending = Ending::Answered(open.reply.kept(kept));
-    shared.finish_claim(open.ticket, ending).await;
+    let ending = Ending::Answered(open.reply.kept(kept.filter(|_| whole)));
+    let finish = shared.finish_claim(open.ticket, ending);
+    let end = async {
+        match whole {
+            true => sender.send(Part::End).await.is_ok(),
+            // The caller's connection takes a channel that closes without an end for a cut.
+            false => sender.close(),
+        }
+    };
+    futures::join!(finish, end);
 }
 
 async fn read<S: Stages>(open: &mut Open<S>, sender: &Sender<Part>, kept: &mut Option<Vec<u8>>) -> Attempt {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,14 +1,22 @@
 //! The request path: the real accept loop and proxy on loopback, with fakes of the other parts.
 
+#[path = "path/answers.rs"]
+mod answers;
 #[path = "path/fakes.rs"]
 mod fakes;
 #[path = "path/heads.rs"]
 mod heads;
 #[path = "path/keys.rs"]
 mod keys;
+#[path = "path/once.rs"]
+mod once;
+#[path = "path/script.rs"]
+mod script;
 #[path = "path/serve.rs"]
 mod serve;
 #[path = "../examples/standin/server.rs"]
 mod server;
 #[path = "path/stop.rs"]
 mod stop;
+#[path = "path/storm.rs"]
+mod storm;
--- /dev/null
+++ b/tests/path/once.rs
@@ -0,0 +1,161 @@
+//! Non-idempotent requests are sent at most once, and "not run" is true (P7, P8).
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_std::task;
+use zinnialoom::code::Code;
+
+use crate::fakes::Entry;
+use crate::fakes::any;
+use crate::fakes::header;
+use crate::fakes::status;
+use crate::fakes::verdict;
+use crate::script::Line;
+use crate::script::OK;
+use crate::script::Script;
+use crate::script::Step::Answer;
+use crate::script::Step::Read;
+use crate::script::Step::Silent;
+use crate::serve::standin;
+use crate::server::Faults;
+
+const ORDER: &str = "idempotency-key: o1\r\ncontent-length: 0\r\nx-request-timeout-ms: 300\r\n";
+const SHED: &str = "HTTP/1.1 503 -\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// An address at which nothing listens.
+async fn closed() -> std::net::SocketAddr {
+    let listener = async_std::net::TcpListener::bind(any()).await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Guards against an order that is sent again after the connection died at any point.
+#[async_std::test]
+async fn an_order_is_sent_once_wherever_the_connection_dies() {
+    const DEATHS: [Line; 6] = [
+        &[],
+        &[Read(10)],
+        &[Answer("")],
+        &[Answer("HTTP/1.1 2")],
+        &[Answer("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf")],
+        &[Silent],
+    ];
+    static LINES: [&[Line]; 6] = [
+        &[DEATHS[0]],
+        &[DEATHS[1]],
+        &[DEATHS[2]],
+        &[DEATHS[3]],
+        &[DEATHS[4]],
+        &[DEATHS[5]],
+    ];
+    for lines in LINES {
+        let script = Script::start(lines).await;
+        let spare = Script::start(&[&[Answer(OK)]]).await;
+        let entry = Entry::start(&[script.address, spare.address]).await;
+        let answer = entry.ask("POST", "/order", ORDER).await;
+        let (_, code, run) = verdict(&answer);
+        assert!(
+            [Code::OutcomeUnknown, Code::DeadlineAfter].contains(&Code::from_number(code).unwrap()),
+            "{lines:?}: {answer}"
+        );
+        assert_eq!(run, "unknown");
+        assert_eq!(spare.connections(), 0, "{lines:?}");
+        assert_eq!(script.connections(), 1, "{lines:?}");
+        let again = entry.ask("POST", "/order", ORDER).await;
+        assert_eq!(verdict(&again).1, Code::OutcomeUnknown.number(), "{again}");
+        assert_eq!(spare.connections() + script.connections(), 1);
+    }
+}
+
+/// Guards against an order that is lost although no upstream ran it.
+#[async_std::test]
+async fn an_order_goes_on_after_not_sent_and_not_run() {
+    let shed = Script::start(&[&[Answer(SHED), Silent]]).await;
+    let standin = standin().await;
+    let entry = Entry::start(&[closed().await, shed.address, standin.address()]).await;
+    let answer = entry.ask("POST", "/order", ORDER).await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert_eq!(
+        format!("{:?}", entry.fakes.samples.lock().unwrap()),
+        "[Refused, Shed, Answered]"
+    );
+    assert_eq!(standin.journal().len(), 1);
+    let again = entry.ask("POST", "/order", ORDER).await;
+    assert_eq!((status(&again), header(&again, "zinnia-run")), (200, Some("yes")));
+    assert_eq!(standin.journal().len(), 1, "the second try gets the kept answer");
+    assert!(standin.journal()[0].headers.contains(&"idempotency-key".into()));
+}
+
+/// Guards against retries without a budget, and against "not run" after an upstream ran it.
+#[async_std::test]
+async fn refusals_are_truthful() {
+    let standin = standin().await;
+    let entry = Entry::start(&[closed().await, standin.address()]).await;
+    entry.fakes.retries.store(0, Ordering::SeqCst);
+    let answer = entry.ask("POST", "/order", ORDER).await;
+    assert_eq!(verdict(&answer), (503, Code::NoUpstream.number(), "no".into()));
+    entry.fakes.retries.store(9, Ordering::SeqCst);
+    entry.fakes.claim_valid.store(false, Ordering::SeqCst);
+    let answer = entry.ask("POST", "/order", ORDER).await;
+    assert_eq!(
+        verdict(&answer),
+        (503, Code::ClaimUnavailable.number(), "no".into())
+    );
+    entry.fakes.claim_valid.store(true, Ordering::SeqCst);
+    let answer = entry.ask("POST", "/order", "content-length: 0\r\n").await;
+    assert_eq!(verdict(&answer), (400, Code::IdRequired.number(), "no".into()));
+    standin.set_faults(Faults {
+        shed: true,
+        ..Faults::default()
+    });
+    let answer = entry.ask("POST", "/order", ORDER).await;
+    assert_eq!(verdict(&answer).2, "no", "{answer}");
+    assert!(standin.journal().is_empty());
+    // The first upstream ran it and died, and the second shed it: the whole may have run.
+    let died = Script::start(&[&[Answer("")]]).await;
+    *entry.fakes.upstreams.lock().unwrap() = vec![died.address, standin.address()];
+    let answer = entry.ask("GET", "/forecast", "").await;
+    assert_eq!(verdict(&answer).2, "unknown", "{answer}");
+    assert_eq!(
+        entry.fakes.reports.load(Ordering::SeqCst),
+        1,
+        "the crash is reported"
+    );
+}
+
+/// Guards against an idempotent request that fails although another upstream would answer it.
+#[async_std::test]
+async fn idempotent_requests_are_retried() {
+    let died = Script::start(&[&[Answer("")]]).await;
+    let failed = Script::start(&[&[Answer("HTTP/1.1 500 -\r\ncontent-length: 0\r\n\r\n")]]).await;
+    let standin = standin().await;
+    let entry = Entry::start(&[died.address, failed.address, standin.address()]).await;
+    assert_eq!(status(&entry.ask("GET", "/forecast", "").await), 200);
+    assert_eq!(
+        format!("{:?}", entry.fakes.samples.lock().unwrap()),
+        "[Died, Failed, Answered]"
+    );
+}
+
+/// Guards against an order whose caller left in the queue and that is sent all the same.
+#[async_std::test]
+async fn an_order_is_not_sent_for_a_caller_that_left() {
+    let standin = standin().await;
+    let entry = Entry::start(&[standin.address()]).await;
+    entry.fakes.cap.store(0, Ordering::SeqCst);
+    let mut stream = async_std::net::TcpStream::connect(entry.running.address())
+        .await
+        .unwrap();
+    let order = crate::fakes::request("POST", "/order", "idempotency-key: o1\r\ncontent-length: 0\r\n");
+    async_std::io::WriteExt::write_all(&mut stream, order.as_bytes())
+        .await
+        .unwrap();
+    task::sleep(Duration::from_millis(60)).await;
+    drop(stream);
+    task::sleep(Duration::from_millis(60)).await;
+    entry.fakes.cap.store(9, Ordering::SeqCst);
+    assert_eq!(entry.proxy.stop(Duration::from_secs(2)).await, 0);
+    assert!(standin.journal().is_empty());
+    let claims = format!("{:?}", entry.fakes.claims.lock().unwrap());
+    assert!(claims.contains("NotRun"), "{claims}");
+}
--- /dev/null
+++ b/tests/path/storm.rs
@@ -0,0 +1,118 @@
+//! Many callers while faults come and go: each verdict is compared with the journals.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_std::task;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::fakes::Entry;
+use crate::fakes::status;
+use crate::fakes::verdict;
+use crate::serve::standin;
+use crate::server::Faults;
+use crate::server::Standin;
+
+const CALLERS: u64 = 16;
+const REQUESTS: u64 = 30;
+
+fn fault(random: &mut StdRng) -> Faults {
+    let mut faults = Faults::default();
+    match random.random_range(0..9) {
+        0 => faults.shed = true,
+        1 => faults.cut = true,
+        2 => faults.wrong = true,
+        3 => faults.stall = true,
+        4 => faults.error = 503,
+        5 => faults.crash = Some("/forecast".into()),
+        6 => faults.slow = 20.0,
+        _ => {}
+    }
+    faults
+}
+
+/// Asks and returns the tag of each request with its method and answer.
+async fn caller(entry: &Entry, seed: u64) -> Vec<(String, &'static str, String)> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    for number in 0..REQUESTS {
+        let tag = format!("t={seed}x{number}x");
+        let method = if random.random() { "GET" } else { "POST" };
+        let bytes = if random.random() { "&bytes=100000" } else { "" };
+        let headers = format!("idempotency-key: {tag}\r\ncontent-length: 0\r\nx-request-timeout-ms: 250\r\n");
+        let answer = entry
+            .ask(method, &format!("/forecast?{tag}{bytes}"), &headers)
+            .await;
+        all.push((tag, method, answer));
+    }
+    all
+}
+
+async fn switch(standins: Vec<Standin>, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    loop {
+        let one = random.random_range(0..standins.len());
+        standins[one].set_faults(fault(&mut random));
+        task::sleep(Duration::from_millis(random.random_range(1..15))).await;
+    }
+}
+
+/// Guards against "not run" for a request that ran (P7), a second run of a non-idempotent request
+/// (P8), and an answer to another request or without its end (P6), in any mix of faults.
+#[async_std::test]
+async fn verdicts_agree_with_journals() {
+    let seed: u64 = rand::random();
+    println!("seed {seed}");
+    let standins = vec![standin().await, standin().await, standin().await];
+    let addresses: Vec<_> = standins.iter().map(Standin::address).collect();
+    let entry = Entry::start(&addresses).await;
+    entry.fakes.retries.store(1_000_000, Ordering::SeqCst);
+    let switches = task::spawn(switch(standins.clone(), seed));
+    let callers = (0..CALLERS).map(|n| caller(&entry, seed.wrapping_add(n)));
+    let answers = futures::future::join_all(callers).await.concat();
+    switches.cancel().await;
+    entry.proxy.stop(Duration::from_secs(3)).await;
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    for ran in standins.iter().flat_map(Standin::journal) {
+        *runs.entry(ran.key).or_default() += 1;
+        assert!(!ran.has_key);
+    }
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for (tag, method, answer) in answers {
+        let count = runs.get(&tag).copied().unwrap_or(0);
+        let (_, code, run) = verdict(&answer);
+        *counts.entry(format!("{method} {code} {run}")).or_default() += 1;
+        assert!(
+            method == "GET" || count <= 1,
+            "seed {seed}: {tag} ran {count} times"
+        );
+        match run.as_str() {
+            "no" => assert_eq!(count, 0, "seed {seed}: {tag} ran but got {answer}"),
+            "yes" => assert!(count > 0, "seed {seed}: {tag} did not run"),
+            "unknown" => {}
+            _ => panic!("seed {seed}: {tag} got {answer:?}"),
+        }
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        if status(head) == 200 && body.len() < 50_000 && !body.starts_with("abc") {
+            assert!(body.contains(&tag), "seed {seed}: {tag} got {body}");
+        }
+    }
+    println!("{counts:?}");
+    let served: usize = counts
+        .iter()
+        .filter(|(k, _)| k.ends_with("yes"))
+        .map(|(_, n)| n)
+        .sum();
+    assert!(
+        served * 2 > (CALLERS * REQUESTS) as usize,
+        "seed {seed}: {counts:?}"
+    );
+    assert_eq!(
+        entry.fakes.in_flight.load(Ordering::SeqCst),
+        0,
+        "every upstream is given back"
+    );
+}
