--- a/examples/scenario/fleet.rs
+++ b/examples/scenario/fleet.rs
@@ -174,7 +174,6 @@
             let address = free_address()?;
             self.add(&name, Role::Upstream, address, address);
             let mut command = vec![self.programs.join("examples/standin").display().to_string()];
-            let journal = self.folder.join(format!("{name}.journal")).display().to_string();
             let secret = self.folder.join("join.secret").display().to_string();
             for (flag, value) in [
                 ("bind", address.to_string()),
@@ -183,7 +182,6 @@
                 ("domain", format!("domain-{}", (n - 1) % domains + 1)),
                 ("entry", entries.join(",")),
                 ("join-secret", secret),
-                ("journal", journal),
             ] {
                 command.extend([format!("--{flag}"), value]);
             }
@@ -207,9 +205,15 @@
 
     pub(crate) fn start(&mut self, name: &str) -> Result<(), String> {
         let path = self.folder.join(format!("{name}.log"));
-        let open = || File::options().create(true).append(true).open(&path);
-        let out = open().map_err(|e| e.to_string())?;
-        let error = open().map_err(|e| e.to_string())?;
+        // A stand-in writes its journal to the standard output.
+        let journal = self.folder.join(format!("{name}.journal"));
+        let is_upstream = self.get(name)?.role == Role::Upstream;
+        let out = if is_upstream {
+            append(&journal)
+        } else {
+            append(&path)
+        }?;
+        let error = append(&path)?;
         let process = self.get(name)?;
         if process.child.is_some() {
             return Err(format!("{name} is running"));
@@ -343,6 +347,14 @@
         .map_err(|e| e.to_string())
 }
 
+fn append(path: &Path) -> Result<File, String> {
+    File::options()
+        .create(true)
+        .append(true)
+        .open(path)
+        .map_err(|e| format!("{}: {e}", path.display()))
+}
+
 fn free_address() -> Result<SocketAddr, String> {
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
     listener.local_addr().map_err(|e| e.to_string())
--- a/examples/scenario/main.rs
+++ b/examples/scenario/main.rs
@@ -8,12 +8,16 @@
 use std::time::Instant;
 
 use argh::FromArgs;
+use async_std::net::TcpStream;
 use async_std::task;
+use serde_json::json;
 use signal_hook::consts::SIGCONT;
 use signal_hook::consts::SIGKILL;
 use signal_hook::consts::SIGSTOP;
 use signal_hook::consts::SIGTERM;
 use tide::http::Method;
+use tide::http::Request;
+use tide::http::Url;
 
 use crate::fleet::Fleet;
 use crate::fleet::Role;
@@ -205,8 +209,8 @@
     fn create_customer(&mut self, name: &str, options: &Options) -> Result<(), String> {
         let (rate, burst) = (options.text("rate", "100"), options.text("burst", "100"));
         self.fleet
-            .operate(&["customer-set", "--id", name, "--rate", rate, "--burst", burst])?;
-        let answer = self.fleet.operate(&["key-issue", "--customer", name])?;
+            .operate(&["customer", "set", "--id", name, "--rate", rate, "--burst", burst])?;
+        let answer = self.fleet.operate(&["key", "issue", "--customer", name])?;
         let answer: serde_json::Value =
             serde_json::from_str(&answer).map_err(|e| format!("{e}: {answer}"))?;
         let key = answer["key"]
@@ -216,7 +220,7 @@
     }
 
     fn create_route(&mut self, name: &str, options: &Options) -> Result<(), String> {
-        let mut words = vec!["route-set", "--id", name];
+        let mut words = vec!["route", "set", "--id", name];
         words.extend([
             "--prefix",
             options.text("prefix", "/"),
@@ -307,6 +311,7 @@
         Ok(())
     }
 
+    /// Replaces the faults of a stand-in; without options it has none.
     async fn set_upstream(&mut self, name: &str, options: &Options) -> Result<(), String> {
         let process = self
             .fleet
@@ -314,20 +319,19 @@
             .get(name)
             .ok_or_else(|| format!("no process is named {name}"))?;
         let address = process.address;
-        for (fault, value) in options.iter() {
-            let path = format!("http://{address}/.standin/{fault}?value={value}");
-            let url = tide::http::Url::parse(&path).map_err(|e| e.to_string())?;
-            let stream = async_std::net::TcpStream::connect(address)
-                .await
-                .map_err(|e| e.to_string())?;
-            let mut request = tide::http::Request::new(Method::Post, url);
-            request.insert_header("connection", "close");
-            let response = async_h1::connect(stream, request)
-                .await
-                .map_err(|e| e.to_string())?;
-            if !response.status().is_success() {
-                return Err(format!("{name} refuses {fault}={value}: {}", response.status()));
-            }
+        let value = |text: &str| serde_json::from_str(text).unwrap_or_else(|_| json!(text));
+        let faults: serde_json::Map<String, serde_json::Value> =
+            options.iter().map(|(n, v)| (n.to_owned(), value(v))).collect();
+        let url = Url::parse(&format!("http://{address}/.standin/faults")).map_err(|e| e.to_string())?;
+        let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+        let mut request = Request::new(Method::Post, url);
+        request.insert_header("connection", "close");
+        request.set_body(serde_json::Value::Object(faults).to_string());
+        let response = async_h1::connect(stream, request)
+            .await
+            .map_err(|e| e.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("{name} refuses the faults: {}", response.status()));
         }
         Ok(())
     }
@@ -337,7 +341,19 @@
             .key(customer)
             .ok_or_else(|| format!("{customer} has no key"))?;
         let id = key.split('.').nth(1).unwrap_or_default().to_owned();
-        self.fleet.operate(&["key-withdraw", "--id", &id]).map(drop)
+        let list = self.fleet.operate(&["key", "list", "--customer", customer])?;
+        let list: serde_json::Value = serde_json::from_str(&list).map_err(|e| e.to_string())?;
+        let items = list["items"]
+            .as_array()
+            .or_else(|| list["keys"].as_array())
+            .or_else(|| list.as_array());
+        let found = items.into_iter().flatten().find(|k| k["id"] == id.as_str());
+        let version = found
+            .and_then(|k| k["version"].as_u64())
+            .ok_or_else(|| format!("no key {id} in {list}"))?;
+        self.fleet
+            .operate(&["key", "withdraw", "--id", &id, "--expect", &version.to_string()])
+            .map(drop)
     }
 
     async fn expect(&mut self, name: &str, options: &Options) -> Result<(), String> {
