--- /dev/null
+++ b/examples/control_bench.rs
@@ -0,0 +1,196 @@
+//! Commit latency and commits a second of the replicated log on loopback, with sync to disk.
+//!
+//! `cargo run --release --example control_bench [-- --seconds N --callers N --folder PATH]`
+//! All replicas share one process and one disk, so the figures are a lower bound for separate VMs.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use argh::FromArgs;
+use async_std::net::TcpListener;
+use async_std::task;
+use futures::StreamExt;
+use hdrhistogram::Histogram;
+use jsonrpsee::RpcModule;
+use zinnialoom::code::Code;
+use zinnialoom::error::Error;
+use zinnialoom::error::Result;
+use zinnialoom::id::Index;
+use zinnialoom::kernel::Service;
+use zinnialoom::replica::Role;
+use zinnialoom::replication::Machine;
+use zinnialoom::replication::Replication;
+use zinnialoom::rpc::Server;
+use zinnialoom::secret::Secret;
+use zinnialoom::settings::Common;
+use zinnialoom::settings::ControlSettings;
+use zinnialoom::settings::Peer;
+use zinnialoom::timer::Timer;
+
+/// Size of a command, about that of a customer or route change in JSON.
+const COMMAND_BYTES: usize = 300;
+const HEARTBEAT: Duration = Duration::from_millis(200);
+const ELECTION: Duration = Duration::from_millis(1_000);
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Measures commits of the replicated log.
+#[derive(FromArgs)]
+struct Args {
+    /// seconds for each line of the table (3)
+    #[argh(option, default = "3")]
+    seconds: u64,
+    /// callers at once in the second line of each group size (64)
+    #[argh(option, default = "64")]
+    callers: usize,
+    /// folder for the data, removed at the end (a temporary folder)
+    #[argh(option)]
+    folder: Option<PathBuf>,
+}
+
+/// Counts commands; its state is small, so that snapshots cost little.
+#[derive(Default)]
+struct Counter(u64);
+
+impl Machine for Counter {
+    fn apply(&mut self, _: Index, _: &[u8]) -> Vec<u8> {
+        self.0 += 1;
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.to_le_bytes().to_vec()
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<()> {
+        let bytes = data.try_into().map_err(|_| Error::from(Code::Corrupt))?;
+        self.0 = u64::from_le_bytes(bytes);
+        Ok(())
+    }
+}
+
+async fn serve(listener: TcpListener, server: Server) {
+    let mut incoming = listener.incoming();
+    while let Some(Ok(stream)) = incoming.next().await {
+        let server = server.clone();
+        task::spawn(async_h1::accept(stream, move |request| {
+            let server = server.clone();
+            async move { Ok(server.respond(request).await) }
+        }));
+    }
+}
+
+fn settings(peers: &[Peer], n: usize, folder: &Path) -> ControlSettings {
+    let vm = peers[n].vm.clone();
+    ControlSettings {
+        data: folder.join(format!("{}-{vm}", peers.len())),
+        common: Common {
+            vm,
+            domain: "a".into(),
+            fleet_secret: PathBuf::new(),
+            control: peers.to_vec(),
+            log_json: false,
+            event_count: 100,
+        },
+        bind: peers[n].address,
+        operator_secret: PathBuf::new(),
+        heartbeat: HEARTBEAT,
+        election: ELECTION,
+    }
+}
+
+async fn open(count: usize, folder: &Path, timer: &Timer) -> Vec<Arc<Replication<Counter>>> {
+    let mut listeners = Vec::new();
+    let mut peers = Vec::new();
+    for n in 0..count {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+            .await
+            .unwrap();
+        let address = listener.local_addr().unwrap();
+        let vm = format!("c{n}").into();
+        peers.push(Peer { vm, address });
+        listeners.push(listener);
+    }
+    let secret = Secret::new("control-bench-secret");
+    let mut replicas = Vec::new();
+    for (n, listener) in listeners.into_iter().enumerate() {
+        let settings = settings(&peers, n, folder);
+        let replica = Replication::open(&settings, secret.clone(), Counter::default(), timer).await;
+        let replica = replica.expect("the replica starts");
+        let mut module = RpcModule::new(());
+        replica.register(&mut module).expect("the method is new");
+        task::spawn(serve(listener, Server::new(module, secret.clone())));
+        replicas.push(Arc::new(replica));
+    }
+    replicas
+}
+
+async fn leader(replicas: &[Arc<Replication<Counter>>]) -> Arc<Replication<Counter>> {
+    let end = Instant::now() + START_LIMIT;
+    loop {
+        assert!(Instant::now() < end, "no leader in {START_LIMIT:?}");
+        let leads = |r: &&Arc<Replication<Counter>>| r.status().role == Role::Leader;
+        if let Some(replica) = replicas.iter().find(leads) {
+            if replica.propose(vec![0; COMMAND_BYTES]).await.is_ok() {
+                return Arc::clone(replica);
+            }
+        }
+        task::sleep(HEARTBEAT).await;
+    }
+}
+
+/// Proposes one command after the other until the time is over; latencies in microseconds.
+async fn call(replica: Arc<Replication<Counter>>, end: Instant) -> (Histogram<u64>, u64) {
+    let mut latencies = Histogram::new(3).expect("a valid precision");
+    let mut failed = 0;
+    while Instant::now() < end {
+        let start = Instant::now();
+        match replica.propose(vec![1; COMMAND_BYTES]).await {
+            Ok(_) => latencies.saturating_record(start.elapsed().as_micros() as u64),
+            Err(_) => failed += 1,
+        }
+    }
+    (latencies, failed)
+}
+
+async fn measure(replica: &Arc<Replication<Counter>>, count: usize, callers: usize, time: Duration) {
+    let start = Instant::now();
+    let end = start + time;
+    let calls = (0..callers).map(|_| task::spawn(call(Arc::clone(replica), end)));
+    let results = futures::future::join_all(calls).await;
+    let taken = start.elapsed().as_secs_f64();
+    let mut all: Histogram<u64> = Histogram::new(3).expect("a valid precision");
+    let mut failed = 0;
+    for (latencies, errors) in results {
+        all.add(latencies).expect("equal ranges");
+        failed += errors;
+    }
+    let millis = |q| all.value_at_quantile(q) as f64 / 1_000.0;
+    let rate = all.len() as f64 / taken;
+    let (p50, p99) = (millis(0.5), millis(0.99));
+    println!("{count:>8} {callers:>8} {rate:>10.0} {p50:>10.2} {p99:>10.2} {failed:>8}");
+}
+
+#[async_std::main]
+async fn main() {
+    let args: Args = argh::from_env();
+    let name = format!("control-bench-{}", std::process::id());
+    let folder = args.folder.unwrap_or_else(std::env::temp_dir).join(name);
+    let time = Duration::from_secs(args.seconds);
+    println!("replicas  callers  commits/s     p50 ms     p99 ms   failed");
+    for count in [1, 3, 5] {
+        let timer = Timer::spawn();
+        let replicas = open(count, &folder, &timer).await;
+        let replica = leader(&replicas).await;
+        measure(&replica, count, 1, time).await;
+        measure(&replica, count, args.callers, time).await;
+        for replica in &replicas {
+            replica.stop().await;
+        }
+        timer.stop().await;
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
