Test the replica service with lost disks and failures between steps

The worker now closes the queue and gives up the role whenever it ends.

The failpoint tests end a replica at each step between taking a proposal and answering it: an answered change must exist, an unanswered one at most once.

The benchmark recorded latencies in a histogram whose bounds were too small; its percentiles were wrong.

--- a/examples/control_bench.rs
+++ b/examples/control_bench.rs
@@ -75,6 +75,7 @@
 async fn serve(listener: TcpListener, server: Server) {
     let mut incoming = listener.incoming();
     while let Some(Ok(stream)) = incoming.next().await {
+        let _ = stream.set_nodelay(true);
         let server = server.clone();
         task::spawn(async_h1::accept(stream, move |request| {
             let server = server.clone();
@@ -142,9 +143,14 @@
     }
 }
 
-/// Proposes one command after the other until the time is over; latencies in microseconds.
+/// Latencies in microseconds up to a minute.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds")
+}
+
+/// Proposes one command after the other until the time is over.
 async fn call(replica: Arc<Replication<Counter>>, end: Instant) -> (Histogram<u64>, u64) {
-    let mut latencies = Histogram::new(3).expect("a valid precision");
+    let mut latencies = histogram();
     let mut failed = 0;
     while Instant::now() < end {
         let start = Instant::now();
@@ -162,7 +168,7 @@
     let calls = (0..callers).map(|_| task::spawn(call(Arc::clone(replica), end)));
     let results = futures::future::join_all(calls).await;
     let taken = start.elapsed().as_secs_f64();
-    let mut all: Histogram<u64> = Histogram::new(3).expect("a valid precision");
+    let mut all: Histogram<u64> = histogram();
     let mut failed = 0;
     for (latencies, errors) in results {
         all.add(latencies).expect("equal ranges");
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -132,10 +132,10 @@
         let peers = clients
             .map(|(vm, client)| (vm, spawn_sender(client, call_limit)))
             .collect();
-        let worker = Worker::new(replica, journal, peers, Arc::clone(&shared));
+        let worker = Worker::new(inbox, replica, journal, peers, Arc::clone(&shared));
         let worker = thread::Builder::new()
             .name("replication".into())
-            .spawn(move || worker.run(inbox))
+            .spawn(move || worker.run())
             .map_err(|e| Error::io("thread of the replica", &e))?;
         let ticks = timer.subscribe(settings.heartbeat / TICKS_PER_BEAT);
         task::spawn(forward_ticks(ticks, events.clone()));
--- a/src/replication/worker.rs
+++ b/src/replication/worker.rs
@@ -26,6 +26,7 @@
 use crate::replica::Input;
 use crate::replica::Output;
 use crate::replica::Replica;
+use crate::replica::Role;
 use crate::replica::Snapshot;
 
 /// A snapshot is taken after this many applied entries.
@@ -39,17 +40,9 @@
     answer: Answer<Vec<u8>>,
 }
 
-/// The inputs; closed when the worker ends, also by a panic, so that callers do not wait for it.
-struct Inbox(Receiver<Event>);
-
-impl Drop for Inbox {
-    fn drop(&mut self) {
-        self.0.close();
-    }
-}
-
 /// The core, the journal and the calls that wait for an answer.
 pub(super) struct Worker<M> {
+    inbox: Receiver<Event>,
     replica: Replica,
     journal: Journal,
     peers: BTreeMap<VmName, Sender<Envelope>>,
@@ -65,6 +58,7 @@
 
 impl<M: Machine> Worker<M> {
     pub(super) fn new(
+        inbox: Receiver<Event>,
         replica: Replica,
         journal: Journal,
         peers: BTreeMap<VmName, Sender<Envelope>>,
@@ -72,6 +66,7 @@
     ) -> Self {
         let applied = replica.status().applied;
         Self {
+            inbox,
             replica,
             journal,
             peers,
@@ -86,16 +81,15 @@
     }
 
     /// Runs until it is stopped, all handles are gone, or the disk fails.
-    pub(super) fn run(mut self, inbox: Receiver<Event>) {
-        let inbox = Inbox(inbox);
-        if let Err(error) = self.serve(&inbox.0) {
+    pub(super) fn run(mut self) {
+        if let Err(error) = self.serve() {
             log::error!("replica stopped: {error}");
             *self.shared.failure.lock().unwrap() = Some(error);
         }
     }
 
-    fn serve(&mut self, inbox: &Receiver<Event>) -> Result<()> {
-        while let Ok(first) = task::block_on(inbox.recv()) {
+    fn serve(&mut self) -> Result<()> {
+        while let Ok(first) = task::block_on(self.inbox.recv()) {
             let mut outputs = Vec::new();
             let mut event = Some(first);
             let mut count = 0;
@@ -106,7 +100,7 @@
                 outputs.extend(self.replica.step(Instant::now(), input));
                 count += 1;
                 event = match count < BATCH_EVENTS {
-                    true => inbox.try_recv().ok(),
+                    true => self.inbox.try_recv().ok(),
                     false => None,
                 };
             }
@@ -277,6 +271,17 @@
     }
 }
 
+impl<M> Drop for Worker<M> {
+    /// Also after a panic, callers must not wait for this replica or take it for the leader.
+    fn drop(&mut self) {
+        self.inbox.close();
+        if let Ok(mut status) = self.shared.status.lock() {
+            status.role = Role::Follower;
+            status.leader = None;
+        }
+    }
+}
+
 fn not_leader(leader: Option<VmName>) -> Error {
     let detail = leader.map_or_else(|| "no leader is known".into(), String::from);
     Error::new(Code::NotLeader, detail)
--- a/tests/failpoints.rs
+++ b/tests/failpoints.rs
@@ -12,6 +12,25 @@
 use zinnialoom::replica::Membership;
 use zinnialoom::replica::Snapshot;
 
+use self::group::Group;
+use self::group::applied;
+use self::group::propose;
+use self::group::wait_for;
+
+#[path = "replication/group.rs"]
+mod group;
+
+/// Steps between taking a proposal and answering it, and whether the change is durable there.
+const STEPS: [(&str, bool); 6] = [
+    ("replication::before_append", false),
+    ("replication::before_sync", false),
+    ("replication::after_sync", true),
+    ("replication::before_apply", true),
+    ("replication::before_answer", true),
+    // What was written is removed after a failed sync.
+    ("journal::sync", false),
+];
+
 fn entry(index: u64, size: usize) -> Entry {
     let content = Content::Data(vec![7; size].into());
     Entry {
@@ -70,3 +89,75 @@
     }
     scenario.teardown();
 }
+
+/// A change that was not answered may exist or not, but only once, and an answered one must exist.
+#[async_std::test]
+async fn a_single_replica_that_ends_between_two_steps_keeps_answered_changes() {
+    let scenario = fail::FailScenario::setup();
+    for (point, is_durable) in STEPS {
+        let group = Group::new(1);
+        let vm = group.start(0).await;
+        propose(&[&vm], "a").await;
+        let action = if point.starts_with("journal") {
+            "1*return"
+        } else {
+            "1*panic"
+        };
+        fail::cfg(point, action).unwrap();
+        let error = vm.replication.propose(b"b".to_vec()).await.unwrap_err();
+        assert!(
+            matches!(error.code, Code::NoQuorum | Code::Io),
+            "{point}: {error}"
+        );
+        fail::remove(point);
+        vm.stop().await;
+        let vm = group.start(0).await;
+        propose(&[&vm], "c").await;
+        let expected: &[&str] = if is_durable { &["a", "b", "c"] } else { &["a", "c"] };
+        assert_eq!(applied(&vm), expected, "{point}");
+        vm.stop().await;
+    }
+    scenario.teardown();
+}
+
+#[async_std::test]
+async fn three_replicas_agree_after_one_ended_between_two_steps() {
+    let scenario = fail::FailScenario::setup();
+    for (point, _) in STEPS.iter().filter(|(p, _)| p.starts_with("replication")) {
+        let group = Group::new(3);
+        let mut vms = group.start_all().await;
+        propose(&vms.iter().collect::<Vec<_>>(), "a").await;
+        fail::cfg(*point, "1*panic").unwrap();
+        let mut answered = false;
+        for vm in &vms {
+            let result = vm.replication.propose(b"b".to_vec()).await;
+            answered |= result.is_ok();
+            // After any other error the change may be accepted: it must not be sent again.
+            if !result.is_err_and(|e| e.code == Code::NotLeader) {
+                break;
+            }
+        }
+        fail::remove(*point);
+        propose(&vms.iter().collect::<Vec<_>>(), "c").await;
+        for n in 0..3 {
+            vms.remove(0).stop().await;
+            vms.push(group.start(n).await);
+        }
+        propose(&vms.iter().collect::<Vec<_>>(), "d").await;
+        wait_for("equal states", || {
+            let first = applied(&vms[0]);
+            first.last().is_some_and(|t| t == "d") && vms.iter().all(|vm| applied(vm) == first)
+        })
+        .await;
+        let count = applied(&vms[0]).iter().filter(|t| *t == "b").count();
+        assert!(
+            count <= 1 && (count == 1 || !answered),
+            "{point}: {:?}",
+            applied(&vms[0])
+        );
+        for vm in vms {
+            vm.stop().await;
+        }
+    }
+    scenario.teardown();
+}
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -1,192 +1,20 @@
 //! Guards against a replica service that loses or repeats changes over real calls and real files.
 
-use std::net::SocketAddr;
-use std::path::Path;
-use std::path::PathBuf;
-use std::sync::Arc;
-use std::time::Duration;
-use std::time::Instant;
+use std::fs;
 
-use async_std::net::TcpListener;
 use async_std::task;
-use async_std::task::JoinHandle;
-use futures::FutureExt;
-use futures::StreamExt;
-use futures::future::Either;
-use futures::future::select;
-use futures::stream::FuturesUnordered;
-use jsonrpsee::RpcModule;
 use zinnialoom::code::Code;
-use zinnialoom::error::Error;
-use zinnialoom::error::Result;
-use zinnialoom::id::Index;
-use zinnialoom::kernel::Service;
 use zinnialoom::replica::Role;
-use zinnialoom::replication::Machine;
-use zinnialoom::replication::Replication;
-use zinnialoom::rpc::Server;
-use zinnialoom::secret::Secret;
-use zinnialoom::settings::Common;
-use zinnialoom::settings::ControlSettings;
-use zinnialoom::settings::Peer;
-use zinnialoom::timer::Timer;
 
-const HEARTBEAT: Duration = Duration::from_millis(30);
-const ELECTION: Duration = Duration::from_millis(150);
-const WAIT: Duration = Duration::from_secs(10);
+use self::group::ELECTION;
+use self::group::Group;
+use self::group::Vm;
+use self::group::applied;
+use self::group::propose;
+use self::group::wait_for;
 
-/// Keeps every command it applied, as text.
-#[derive(Default)]
-struct Journal(Vec<String>);
-
-impl Machine for Journal {
-    fn apply(&mut self, _: Index, data: &[u8]) -> Vec<u8> {
-        self.0.push(String::from_utf8_lossy(data).into_owned());
-        self.0.len().to_string().into_bytes()
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        serde_json::to_vec(&self.0).unwrap()
-    }
-
-    fn restore(&mut self, data: &[u8]) -> Result<()> {
-        let read = serde_json::from_slice(data);
-        self.0 = read.map_err(|e| Error::new(Code::Corrupt, e.to_string()))?;
-        Ok(())
-    }
-}
-
-struct Vm {
-    replication: Arc<Replication<Journal>>,
-    server: JoinHandle<()>,
-    timer: Timer,
-}
-
-impl Vm {
-    async fn stop(self) {
-        self.replication.stop().await;
-        self.server.cancel().await;
-        self.timer.stop().await;
-    }
-}
-
-struct Group {
-    folder: tempfile::TempDir,
-    peers: Vec<Peer>,
-}
-
-impl Group {
-    fn new(count: usize) -> Self {
-        let ports: Vec<std::net::TcpListener> = (0..count)
-            .map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap())
-            .collect();
-        let peer = |(n, port): (usize, &std::net::TcpListener)| Peer {
-            vm: format!("c{}", n + 1).into(),
-            address: port.local_addr().unwrap(),
-        };
-        Self {
-            folder: tempfile::tempdir().unwrap(),
-            peers: ports.iter().enumerate().map(peer).collect(),
-        }
-    }
-
-    fn data(&self, n: usize) -> PathBuf {
-        self.folder.path().join(&*self.peers[n].vm)
-    }
-
-    fn settings(&self, n: usize) -> ControlSettings {
-        settings(&self.peers, n, &self.data(n))
-    }
-
-    async fn start(&self, n: usize) -> Vm {
-        let timer = Timer::spawn();
-        let secret = Secret::new("0123456789abcdef");
-        let machine = Journal::default();
-        let replication = Replication::open(&self.settings(n), secret.clone(), machine, &timer).await;
-        let replication = Arc::new(replication.unwrap());
-        let mut module = RpcModule::new(());
-        replication.register(&mut module).unwrap();
-        let server = task::spawn(serve(self.peers[n].address, Server::new(module, secret)));
-        Vm {
-            replication,
-            server,
-            timer,
-        }
-    }
-
-    async fn start_all(&self) -> Vec<Vm> {
-        let mut vms = Vec::new();
-        for n in 0..self.peers.len() {
-            vms.push(self.start(n).await);
-        }
-        vms
-    }
-}
-
-fn settings(peers: &[Peer], n: usize, data: &Path) -> ControlSettings {
-    ControlSettings {
-        common: Common {
-            vm: peers[n].vm.clone(),
-            domain: "a".into(),
-            fleet_secret: PathBuf::new(),
-            control: peers.to_vec(),
-            log_json: false,
-            event_count: 100,
-        },
-        bind: peers[n].address,
-        data: data.to_owned(),
-        operator_secret: PathBuf::new(),
-        heartbeat: HEARTBEAT,
-        election: ELECTION,
-    }
-}
-
-async fn serve(address: SocketAddr, server: Server) {
-    let listener = TcpListener::bind(address).await.unwrap();
-    let mut incoming = listener.incoming();
-    // Dropped with this task when the VM stops, so that no connection outlives it.
-    let mut connections = FuturesUnordered::new();
-    // `select_next_some` must not find the list empty.
-    connections.push(futures::future::pending().boxed());
-    loop {
-        let accepted = select(incoming.next(), connections.select_next_some()).await;
-        let Either::Left((Some(Ok(stream)), _)) = accepted else {
-            continue;
-        };
-        let server = server.clone();
-        let answer = move |request| {
-            let server = server.clone();
-            async move { Ok(server.respond(request).await) }
-        };
-        connections.push(async_h1::accept(stream, answer).boxed());
-    }
-}
-
-/// Proposes to whichever replica leads until one accepts.
-async fn propose(vms: &[&Vm], text: &str) -> String {
-    let end = Instant::now() + WAIT;
-    while Instant::now() < end {
-        for vm in vms {
-            if let Ok(answer) = vm.replication.propose(text.into()).await {
-                return String::from_utf8(answer).unwrap();
-            }
-        }
-        task::sleep(HEARTBEAT).await;
-    }
-    panic!("no replica accepted {text}");
-}
-
-async fn wait_for(what: &str, is_done: impl Fn() -> bool) {
-    let end = Instant::now() + WAIT;
-    while !is_done() {
-        assert!(Instant::now() < end, "waited too long for: {what}");
-        task::sleep(HEARTBEAT).await;
-    }
-}
-
-fn applied(vm: &Vm) -> Vec<String> {
-    vm.replication.read(|m| m.0.clone())
-}
+#[path = "replication/group.rs"]
+mod group;
 
 fn leader(vms: &[Vm]) -> Option<usize> {
     vms.iter()
@@ -231,3 +59,72 @@
         vm.stop().await;
     }
 }
+
+/// The former data must come back from the other replicas, and the new disk must count again.
+#[async_std::test]
+async fn a_vm_with_a_new_disk_is_repaired_and_counts_again() {
+    let group = Group::new(3);
+    let mut vms = group.start_all().await;
+    let all = |vms: &[Vm]| vms.iter().map(|vm| vm.replication.clone()).collect::<Vec<_>>();
+    propose(&vms.iter().collect::<Vec<_>>(), "a").await;
+    let former = vms.remove(0);
+    let id = former.replication.status().id;
+    former.stop().await;
+    fs::remove_dir_all(group.data(0)).unwrap();
+    vms.insert(0, group.start(0).await);
+    let replicas = all(&vms);
+    wait_for("the new disk as a voter", || {
+        let is_repaired = |m: &zinnialoom::replica::Membership| m.voters.len() == 3 && !m.is_voter(id);
+        replicas.iter().all(|r| is_repaired(&r.status().membership))
+    })
+    .await;
+    vms.remove(1).stop().await;
+    assert_eq!(propose(&vms.iter().collect::<Vec<_>>(), "b").await, "2");
+    wait_for("equal states", || vms.iter().all(|vm| applied(vm) == ["a", "b"])).await;
+    for vm in vms {
+        vm.stop().await;
+    }
+}
+
+/// More than one snapshot is taken, so that the stopped replica needs one.
+#[async_std::test]
+async fn a_replica_that_missed_thousands_of_changes_catches_up() {
+    let group = Group::new(3);
+    let mut vms = group.start_all().await;
+    propose(&vms.iter().collect::<Vec<_>>(), "first").await;
+    wait_for("a leader", || leader(&vms).is_some()).await;
+    let stopped = (leader(&vms).unwrap() + 1) % 3;
+    vms.remove(stopped).stop().await;
+    for part in 0..3 {
+        let replica = vms[leader(&vms).unwrap()].replication.clone();
+        let calls = (0..1_000).map(|n| replica.propose(format!("{part}-{n}").into()));
+        let results = futures::future::join_all(calls).await;
+        assert!(results.iter().all(Result::is_ok));
+    }
+    vms.push(group.start(stopped).await);
+    wait_for("equal states", || vms.iter().all(|vm| applied(vm).len() == 3_001)).await;
+    assert!(vms.iter().all(|vm| applied(vm) == applied(&vms[0])));
+    for vm in vms {
+        vm.stop().await;
+    }
+}
+
+#[async_std::test]
+async fn without_a_majority_nothing_is_accepted_or_confirmed() {
+    let group = Group::new(3);
+    let mut vms = group.start_all().await;
+    propose(&vms.iter().collect::<Vec<_>>(), "a").await;
+    wait_for("a leader", || leader(&vms).is_some()).await;
+    let first = vms.remove(leader(&vms).unwrap());
+    for vm in vms {
+        vm.stop().await;
+    }
+    let code = first.replication.propose(b"b".to_vec()).await.unwrap_err().code;
+    assert!(matches!(code, Code::NoQuorum | Code::NotLeader), "{code}");
+    let code = first.replication.barrier().await.unwrap_err().code;
+    assert!(matches!(code, Code::NoQuorum | Code::NotLeader), "{code}");
+    task::sleep(ELECTION * 2).await;
+    assert_ne!(first.replication.status().role, Role::Leader);
+    assert_eq!(applied(&first), ["a"]);
+    first.stop().await;
+}
--- /dev/null
+++ b/tests/replication/group.rs
@@ -0,0 +1,189 @@
+//! A group of replicas in one process, with real calls on loopback and real files.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use async_std::task::JoinHandle;
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future::Either;
+use futures::future::select;
+use futures::stream::FuturesUnordered;
+use jsonrpsee::RpcModule;
+use zinnialoom::code::Code;
+use zinnialoom::error::Error;
+use zinnialoom::error::Result;
+use zinnialoom::id::Index;
+use zinnialoom::kernel::Service;
+use zinnialoom::replication::Machine;
+use zinnialoom::replication::Replication;
+use zinnialoom::rpc::Server;
+use zinnialoom::secret::Secret;
+use zinnialoom::settings::Common;
+use zinnialoom::settings::ControlSettings;
+use zinnialoom::settings::Peer;
+use zinnialoom::timer::Timer;
+
+pub const HEARTBEAT: Duration = Duration::from_millis(30);
+pub const ELECTION: Duration = Duration::from_millis(150);
+pub const WAIT: Duration = Duration::from_secs(10);
+
+/// Keeps every command it applied, as text.
+#[derive(Default)]
+pub struct Journal(pub Vec<String>);
+
+impl Machine for Journal {
+    fn apply(&mut self, _: Index, data: &[u8]) -> Vec<u8> {
+        self.0.push(String::from_utf8_lossy(data).into_owned());
+        self.0.len().to_string().into_bytes()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.0).unwrap()
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<()> {
+        let read = serde_json::from_slice(data);
+        self.0 = read.map_err(|e| Error::new(Code::Corrupt, e.to_string()))?;
+        Ok(())
+    }
+}
+
+pub struct Vm {
+    pub replication: Arc<Replication<Journal>>,
+    server: JoinHandle<()>,
+    timer: Timer,
+}
+
+impl Vm {
+    pub async fn stop(self) {
+        self.replication.stop().await;
+        self.server.cancel().await;
+        self.timer.stop().await;
+    }
+}
+
+pub struct Group {
+    folder: tempfile::TempDir,
+    peers: Vec<Peer>,
+}
+
+impl Group {
+    pub fn new(count: usize) -> Self {
+        let ports: Vec<std::net::TcpListener> = (0..count)
+            .map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let peer = |(n, port): (usize, &std::net::TcpListener)| Peer {
+            vm: format!("c{}", n + 1).into(),
+            address: port.local_addr().unwrap(),
+        };
+        Self {
+            folder: tempfile::tempdir().unwrap(),
+            peers: ports.iter().enumerate().map(peer).collect(),
+        }
+    }
+
+    pub fn data(&self, n: usize) -> PathBuf {
+        self.folder.path().join(&*self.peers[n].vm)
+    }
+
+    fn settings(&self, n: usize) -> ControlSettings {
+        settings(&self.peers, n, &self.data(n))
+    }
+
+    pub async fn start(&self, n: usize) -> Vm {
+        let timer = Timer::spawn();
+        let secret = Secret::new("0123456789abcdef");
+        let machine = Journal::default();
+        let replication = Replication::open(&self.settings(n), secret.clone(), machine, &timer).await;
+        let replication = Arc::new(replication.unwrap());
+        let mut module = RpcModule::new(());
+        replication.register(&mut module).unwrap();
+        let server = task::spawn(serve(self.peers[n].address, Server::new(module, secret)));
+        Vm {
+            replication,
+            server,
+            timer,
+        }
+    }
+
+    pub async fn start_all(&self) -> Vec<Vm> {
+        let mut vms = Vec::new();
+        for n in 0..self.peers.len() {
+            vms.push(self.start(n).await);
+        }
+        vms
+    }
+}
+
+fn settings(peers: &[Peer], n: usize, data: &Path) -> ControlSettings {
+    ControlSettings {
+        common: Common {
+            vm: peers[n].vm.clone(),
+            domain: "a".into(),
+            fleet_secret: PathBuf::new(),
+            control: peers.to_vec(),
+            log_json: false,
+            event_count: 100,
+        },
+        bind: peers[n].address,
+        data: data.to_owned(),
+        operator_secret: PathBuf::new(),
+        heartbeat: HEARTBEAT,
+        election: ELECTION,
+    }
+}
+
+async fn serve(address: SocketAddr, server: Server) {
+    let listener = TcpListener::bind(address).await.unwrap();
+    let mut incoming = listener.incoming();
+    // Dropped with this task when the VM stops, so that no connection outlives it.
+    let mut connections = FuturesUnordered::new();
+    // `select_next_some` must not find the list empty.
+    connections.push(futures::future::pending().boxed());
+    loop {
+        let accepted = select(incoming.next(), connections.select_next_some()).await;
+        let Either::Left((Some(Ok(stream)), _)) = accepted else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let server = server.clone();
+        let answer = move |request| {
+            let server = server.clone();
+            async move { Ok(server.respond(request).await) }
+        };
+        connections.push(async_h1::accept(stream, answer).boxed());
+    }
+}
+
+/// Proposes to whichever replica leads until one accepts.
+pub async fn propose(vms: &[&Vm], text: &str) -> String {
+    let end = Instant::now() + WAIT;
+    while Instant::now() < end {
+        for vm in vms {
+            if let Ok(answer) = vm.replication.propose(text.into()).await {
+                return String::from_utf8(answer).unwrap();
+            }
+        }
+        task::sleep(HEARTBEAT).await;
+    }
+    panic!("no replica accepted {text}");
+}
+
+pub async fn wait_for(what: &str, is_done: impl Fn() -> bool) {
+    let end = Instant::now() + WAIT;
+    while !is_done() {
+        assert!(Instant::now() < end, "waited too long for: {what}");
+        task::sleep(HEARTBEAT).await;
+    }
+}
+
+pub fn applied(vm: &Vm) -> Vec<String> {
+    vm.replication.read(|m| m.0.clone())
+}
