--- /dev/null
+++ b/tests/failpoints.rs
@@ -0,0 +1,163 @@
+//! Guards against a failure between two steps that harms synced state. Failpoints are global to a
+//! process, so these tests have a file of their own and run one at a time.
+#![cfg(feature = "failpoints")]
+
+use std::path::Path;
+
+use zinnialoom::code::Code;
+use zinnialoom::journal::Journal;
+use zinnialoom::replica::Content;
+use zinnialoom::replica::Entry;
+use zinnialoom::replica::HardState;
+use zinnialoom::replica::Membership;
+use zinnialoom::replica::Snapshot;
+
+use self::group::Group;
+use self::group::applied;
+use self::group::propose;
+use self::group::wait_for;
+
+#[path = "replication/group.rs"]
+mod group;
+
+/// Steps between taking a proposal and answering it, and whether the change is durable there.
+const STEPS: [(&str, bool); 6] = [
+    ("replication::before_append", false),
+    ("replication::before_sync", false),
+    ("replication::after_sync", true),
+    ("replication::before_apply", true),
+    ("replication::before_answer", true),
+    // What was written is removed after a failed sync.
+    ("journal::sync", false),
+];
+
+fn entry(index: u64, size: usize) -> Entry {
+    let content = Content::Data(vec![7; size].into());
+    Entry {
+        index,
+        term: 3,
+        content,
+    }
+}
+
+fn snapshot() -> Snapshot {
+    Snapshot {
+        index: 2,
+        term: 3,
+        membership: Membership::default(),
+        data: vec![9; 1_000].into(),
+    }
+}
+
+/// A journal with three synced entries.
+fn journal(folder: &Path) -> Journal {
+    let (mut journal, _) = Journal::open(folder).unwrap();
+    let (id, term, vote) = (77, 3, None);
+    journal.save_hard_state(HardState { id, term, vote }).unwrap();
+    for index in 1..=3 {
+        journal.append(index, &[entry(index, 20)]).unwrap();
+    }
+    journal.sync().unwrap();
+    journal
+}
+
+/// Each failure must leave what was synced before, and the journal must not go on after it.
+#[test]
+fn a_full_disk_leaves_the_earlier_state() {
+    let scenario = fail::FailScenario::setup();
+    for point in ["journal::write", "journal::sync", "journal::replace"] {
+        let folder = tempfile::tempdir().unwrap();
+        let mut journal = journal(folder.path());
+        fail::cfg(point, "return").unwrap();
+        let error = match point {
+            "journal::replace" => journal.save_snapshot(&snapshot()).unwrap_err(),
+            _ => {
+                journal.append(4, &[entry(4, 5_000)]).unwrap();
+                journal.sync().unwrap_err()
+            }
+        };
+        fail::remove(point);
+        assert_eq!(error.code, Code::Io, "{point}");
+        assert!(
+            error.detail.contains(&*folder.path().to_string_lossy()),
+            "{error}"
+        );
+        assert_eq!(journal.append(4, &[entry(4, 20)]).unwrap_err(), error);
+        assert_eq!(journal.sync().unwrap_err(), error);
+        let stored = Journal::open(folder.path()).unwrap().1.unwrap();
+        assert_eq!((stored.log.len(), stored.snapshot), (3, None), "{point}");
+    }
+    scenario.teardown();
+}
+
+/// A change that was not answered may exist or not, but only once, and an answered one must exist.
+#[async_std::test]
+async fn a_single_replica_that_ends_between_two_steps_keeps_answered_changes() {
+    let scenario = fail::FailScenario::setup();
+    for (point, is_durable) in STEPS {
+        let group = Group::new(1);
+        let vm = group.start(0).await;
+        propose(&[&vm], "a").await;
+        let action = if point.starts_with("journal") {
+            "1*return"
+        } else {
+            "1*panic"
+        };
+        fail::cfg(point, action).unwrap();
+        let error = vm.replication.propose(b"b".to_vec()).await.unwrap_err();
+        assert!(
+            matches!(error.code, Code::NoQuorum | Code::Io),
+            "{point}: {error}"
+        );
+        fail::remove(point);
+        vm.stop().await;
+        let vm = group.start(0).await;
+        propose(&[&vm], "c").await;
+        let expected: &[&str] = if is_durable { &["a", "b", "c"] } else { &["a", "c"] };
+        assert_eq!(applied(&vm), expected, "{point}");
+        vm.stop().await;
+    }
+    scenario.teardown();
+}
+
+#[async_std::test]
+async fn three_replicas_agree_after_one_ended_between_two_steps() {
+    let scenario = fail::FailScenario::setup();
+    for (point, _) in STEPS.iter().filter(|(p, _)| p.starts_with("replication")) {
+        let group = Group::new(3);
+        let mut vms = group.start_all().await;
+        propose(&vms.iter().collect::<Vec<_>>(), "a").await;
+        fail::cfg(*point, "1*panic").unwrap();
+        let mut answered = false;
+        for vm in &vms {
+            let result = vm.replication.propose(b"b".to_vec()).await;
+            answered |= result.is_ok();
+            // After any other error the change may be accepted: it must not be sent again.
+            if !result.is_err_and(|e| e.code == Code::NotLeader) {
+                break;
+            }
+        }
+        fail::remove(*point);
+        propose(&vms.iter().collect::<Vec<_>>(), "c").await;
+        for n in 0..3 {
+            vms.remove(0).stop().await;
+            vms.push(group.start(n).await);
+        }
+        propose(&vms.iter().collect::<Vec<_>>(), "d").await;
+        wait_for("equal states", || {
+            let first = applied(&vms[0]);
+            first.last().is_some_and(|t| t == "d") && vms.iter().all(|vm| applied(vm) == first)
+        })
+        .await;
+        let count = applied(&vms[0]).iter().filter(|t| *t == "b").count();
+        assert!(
+            count <= 1 && (count == 1 || !answered),
+            "{point}: {:?}",
+            applied(&vms[0])
+        );
+        for vm in vms {
+            vm.stop().await;
+        }
+    }
+    scenario.teardown();
+}
