Test the catalog and the operator methods on one and three replicas

Operators race with equal versions through three replicas, changes are resent after a new leader and after a restart of all replicas, and a withdrawal is Pending until a majority of witnesses holds it.

A test with 15 calls overflowed its stack of 2 MB. Cause: the future of one HTTP exchange (5,680 bytes, printed with size_of_val) was part of each caller's future, and debug builds copy that from frame to frame; gdb showed 75 frames, so recursion was ruled out. rpc::Client now boxes it.

--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -186,7 +186,10 @@
         };
         let body = serde_json::to_string(&call)
             .map_err(|e| Error::new(Code::BadParams, format!("{}: {e}", place())))?;
-        let answer = future::timeout(limit, self.send(body))
+        // The future of an HTTP exchange has 5.7 KB. In place it is part of each caller's future, which
+        // debug builds copy from frame to frame: a test with 15 calls overflowed its stack of 2 MB.
+        let exchange = Box::pin(self.send(body));
+        let answer = future::timeout(limit, exchange)
             .await
             .map_err(|_| Error::new(Code::Timeout, format!("{}: no answer for {limit:?}", place())))?
             .map_err(|e| Error::new(e.code, format!("{}: {}", place(), e.detail)))?;
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,293 @@
+//! Guards against operator calls that are lost, applied twice, accepted too early or open to the wrong caller.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use futures::future::join_all;
+use serde_json::Value;
+use serde_json::json;
+use zinnialoom::code::Code;
+
+use crate::fleet::FLEET;
+use crate::fleet::Fleet;
+use crate::fleet::OPERATOR;
+use crate::fleet::Reply;
+use crate::fleet::code;
+
+fn customer(change: &str, expect: u64, rate: u32) -> Value {
+    json!({"change": change, "expect": expect, "id": "a", "rate": rate, "burst": 10})
+}
+
+fn version(reply: &Reply) -> u64 {
+    reply.as_ref().unwrap()["version"].as_u64().unwrap()
+}
+
+async fn join(fleet: &Fleet, n: u16, incarnation: u64) -> Reply {
+    let address = |port: u16| format!("127.0.0.1:{port}");
+    let params = json!({"vm": format!("e{n}"), "domain": "d", "incarnation": incarnation,
+        "caller": address(1_000 + n), "peer": address(10_000 + n)});
+    fleet.call("vm.join", &params).await
+}
+
+async fn fetch(fleet: &Fleet, n: u16, incarnation: u64, version: u64) -> Value {
+    let params = json!({"vm": format!("e{n}"), "incarnation": incarnation, "version": version});
+    fleet.call("config.fetch", &params).await.unwrap()
+}
+
+/// Lets VMs follow the configuration until the witness group has no change under way.
+async fn settle(fleet: &Fleet, vms: &[u16]) -> u64 {
+    let end = Instant::now() + Duration::from_secs(10);
+    loop {
+        let version = fetch(fleet, vms[0], 1, 0).await["version"].as_u64().unwrap();
+        for vm in vms {
+            fetch(fleet, *vm, 1, version).await;
+        }
+        let status = fleet.call("status", &json!({})).await.unwrap();
+        if status["witnesses"]["previous"] == json!([]) && status["version"] == json!(version) {
+            return version;
+        }
+        assert!(Instant::now() < end, "{status}");
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[async_std::test]
+async fn of_operators_with_equal_versions_one_wins_on_each_round() {
+    let fleet = Fleet::start(3).await;
+    let mut expect = 0;
+    for round in 0..10 {
+        let race = (0..6).map(|n| {
+            let params = customer(&format!("race {round} {n}"), expect, 1 + n);
+            let fleet = &fleet;
+            async move {
+                fleet
+                    .call_at(n as usize % 3, OPERATOR, "customer.set", &params)
+                    .await
+            }
+        });
+        let replies = join_all(race).await;
+        let (won, lost): (Vec<_>, Vec<_>) = replies.into_iter().partition(Result::is_ok);
+        assert_eq!(won.len(), 1, "round {round}");
+        expect = version(&won[0]);
+        for reply in lost {
+            assert_eq!(code(&reply), Code::Conflict, "round {round}");
+            assert_eq!(reply.unwrap_err().data["current"], json!(expect));
+        }
+    }
+    let shown = fleet.call("customer.show", &json!({"id": "a"})).await.unwrap();
+    assert_eq!(shown["object"]["version"], json!(expect));
+}
+
+#[async_std::test]
+async fn a_resent_change_gets_the_first_outcome_after_a_new_leader_and_a_restart() {
+    let mut fleet = Fleet::start(3).await;
+    let set = customer("set", 0, 5);
+    let issue = json!({"change": "issue", "customer": "a", "id": "k"});
+    let first = fleet.call("customer.set", &set).await;
+    let issued = fleet.call("key.issue", &issue).await.unwrap();
+    assert!(issued["key"].as_str().unwrap().starts_with("zk.k."));
+    let refused = fleet.call("customer.set", &customer("late", 0, 6)).await;
+    let leader = fleet.leader().await;
+    fleet.close(leader).await;
+    assert_ne!(fleet.leader().await, leader);
+    for restarted in [false, true] {
+        if restarted {
+            fleet.open(leader).await;
+            for n in fleet.up() {
+                fleet.close(n).await;
+            }
+            for n in 0..3 {
+                fleet.open(n).await;
+            }
+            fleet.leader().await;
+        }
+        let again = fleet.call("customer.set", &set).await;
+        assert_eq!(version(&again), version(&first));
+        assert_eq!(again.unwrap()["repeated"], json!(true));
+        let again = fleet.call("key.issue", &issue).await.unwrap();
+        assert_eq!((&again["version"], again.get("key")), (&issued["version"], None));
+        assert!(again["note"].as_str().unwrap().contains("cannot be shown"));
+        let again = fleet.call("customer.set", &customer("late", 0, 6)).await;
+        assert_eq!(code(&again), code(&refused));
+        let reused = fleet.call("customer.set", &customer("set", 0, 7)).await;
+        assert_eq!(code(&reused), Code::ChangeIdReused);
+        let keys = fleet.call("key.list", &json!({})).await.unwrap();
+        assert_eq!(keys["objects"].as_array().unwrap().len(), 1);
+    }
+}
+
+#[async_std::test]
+async fn a_withdrawal_is_pending_until_a_majority_of_witnesses_holds_it() {
+    let fleet = Fleet::start(1).await;
+    fleet.call("customer.set", &customer("c", 0, 5)).await.unwrap();
+    let issue = json!({"change": "k", "customer": "a", "id": "k"});
+    let issued = fleet.call("key.issue", &issue).await;
+    for n in 1..=3 {
+        join(&fleet, n, 1).await.unwrap();
+    }
+    settle(&fleet, &[1, 2, 3]).await;
+    let withdraw = json!({"change": "w", "expect": version(&issued), "id": "k"});
+    let refusal = fleet.call("key.withdraw", &withdraw).await.unwrap_err();
+    assert_eq!(refusal.error.code, Code::Pending);
+    assert_eq!(refusal.data["in_force"], json!({"acknowledged": 0, "of": 3}));
+    let version = refusal.data["version"].as_u64().unwrap();
+    // An acknowledgement of another run, of a VM that is not registered, or of an older version does not count.
+    fetch(&fleet, 1, 1, version).await;
+    fetch(&fleet, 2, 9, version).await;
+    fetch(&fleet, 4, 1, version).await;
+    fetch(&fleet, 3, 1, version - 1).await;
+    let refusal = fleet.call("key.withdraw", &withdraw).await.unwrap_err();
+    assert_eq!(refusal.error.code, Code::Pending);
+    assert_eq!(refusal.data["in_force"], json!({"acknowledged": 1, "of": 3}));
+    let resent = fleet.call("key.withdraw", &withdraw);
+    let (reply, _) = futures::join!(resent, async {
+        task::sleep(Duration::from_millis(100)).await;
+        fetch(&fleet, 2, 1, version).await
+    });
+    let accepted = reply.unwrap();
+    assert_eq!(accepted["version"], json!(version));
+    assert_eq!(accepted["in_force"], json!({"acknowledged": 2, "of": 3}));
+    let wait = json!({"version": version, "wait_ms": 0});
+    let waited = fleet.call("version.wait", &wait).await.unwrap();
+    assert_eq!(waited["everywhere"], json!(false));
+    fetch(&fleet, 3, 1, version).await;
+    let waited = fleet.call("version.wait", &wait).await.unwrap();
+    assert_eq!(waited["everywhere"], json!(true));
+    // A restarted VM has lost what it held.
+    join(&fleet, 3, 2).await.unwrap();
+    let waited = fleet.call("version.wait", &wait).await.unwrap();
+    assert_eq!(waited["in_force"], json!({"acknowledged": 2, "of": 3}));
+}
+
+#[async_std::test]
+async fn a_leader_without_a_majority_confirms_nothing() {
+    let mut fleet = Fleet::start(3).await;
+    let leader = fleet.leader().await;
+    let params = json!({"vm": "e1", "incarnation": 1, "version": 0});
+    for n in 0..3 {
+        let answer = fleet.call_at(n, FLEET, "config.fetch", &params).await.unwrap();
+        assert_eq!(answer["leader"], json!(true), "replica {n}");
+    }
+    for n in (0..3).filter(|n| *n != leader) {
+        fleet.close(n).await;
+    }
+    // Directly after the loss the replica still takes itself for the leader.
+    let answer = fleet
+        .call_at(leader, FLEET, "config.fetch", &params)
+        .await
+        .unwrap();
+    assert_eq!(answer["leader"], json!(false));
+    let reply = fleet
+        .call_at(leader, OPERATOR, "customer.set", &customer("c", 0, 5))
+        .await;
+    assert!(
+        matches!(code(&reply), Code::NoQuorum | Code::NotLeader),
+        "{reply:?}"
+    );
+    let reply = fleet.call_at(leader, OPERATOR, "customer.list", &json!({})).await;
+    assert!(
+        matches!(code(&reply), Code::NoQuorum | Code::NotLeader),
+        "{reply:?}"
+    );
+}
+
+#[async_std::test]
+async fn entry_vms_get_changes_or_a_snapshot() {
+    let fleet = Fleet::start(1).await;
+    join(&fleet, 1, 1).await.unwrap();
+    let mut expect = 0;
+    for n in 0..5 {
+        expect = version(
+            &fleet
+                .call("customer.set", &customer(&format!("c{n}"), expect, 1 + n))
+                .await,
+        );
+    }
+    let params = json!({"vm": "e1", "incarnation": 1, "version": expect - 3, "limit": 2});
+    let answer = fleet.call("config.fetch", &params).await.unwrap();
+    assert_eq!(answer["changes"].as_array().unwrap().len(), 2);
+    assert_eq!(answer["version"], json!(expect));
+    assert_eq!(answer["registered"], json!(1));
+    assert_eq!(answer.get("snapshot"), None);
+}
+
+#[async_std::test]
+async fn a_list_is_cut_into_pages() {
+    let fleet = Fleet::start(1).await;
+    for n in 0..5 {
+        let params =
+            json!({"change": format!("c{n}"), "expect": 0, "id": format!("a{n}"), "rate": 1, "burst": 1});
+        fleet.call("customer.set", &params).await.unwrap();
+    }
+    let mut names = Vec::new();
+    let mut after = Value::Null;
+    loop {
+        let params = json!({"after": after, "limit": 2});
+        let page = fleet.call("customer.list", &params).await.unwrap();
+        for object in page["objects"].as_array().unwrap() {
+            names.push(object["id"].as_str().unwrap().to_owned());
+        }
+        after = page["next"].clone();
+        if after.is_null() {
+            break;
+        }
+    }
+    assert_eq!(names, ["a0", "a1", "a2", "a3", "a4"]);
+    let refused = fleet.call("customer.list", &json!({"limit": 0})).await;
+    assert_eq!(code(&refused), Code::BadParams);
+}
+
+#[async_std::test]
+async fn each_secret_admits_its_own_methods() {
+    let fleet = Fleet::start(1).await;
+    let set = customer("c", 0, 5);
+    for (secret, method, number) in [
+        (FLEET, "customer.set", -32_601),
+        (FLEET, "operator.forward", -32_601),
+        (FLEET, "status", -32_601),
+        (OPERATOR, "vm.join", -32_601),
+        (OPERATOR, "config.fetch", -32_601),
+        (OPERATOR, "replica.step", -32_601),
+        (OPERATOR, "customer.gone", -32_601),
+        ("another secret of the tests", "customer.set", 306),
+        ("", "config.fetch", 306),
+    ] {
+        let refusal = fleet.call_at(0, secret, method, &set).await.unwrap_err();
+        assert_eq!(refusal.number, number, "{method}");
+    }
+    assert!(fleet.call("customer.set", &set).await.is_ok());
+}
+
+#[async_std::test]
+async fn wrong_parameters_are_named_without_their_secret() {
+    let fleet = Fleet::start(1).await;
+    for (change, number, field) in [
+        (json!({"rate": "many"}), -32_602, "rate"),
+        (json!({"rate": -1}), -32_602, "rate"),
+        (json!({"brust": 3}), -32_602, "brust"),
+        (json!({"rate": 0}), 303, "rate"),
+        (json!({"id": "a b"}), 303, "id"),
+    ] {
+        let mut params = customer(&change.to_string(), 0, 5);
+        params
+            .as_object_mut()
+            .unwrap()
+            .extend(change.as_object().unwrap().clone());
+        let refusal = fleet.call("customer.set", &params).await.unwrap_err();
+        assert_eq!(refusal.number, number, "{change}");
+        assert_eq!(refusal.data["field"], json!(field), "{change}");
+        assert!(refusal.error.detail.contains(field), "{}", refusal.error);
+    }
+    for secret in [json!("short-one"), json!(["long-enough-for-a-secret"])] {
+        let params = json!({"change": "s", "expect": 0, "id": "s", "floor": 1, "secret": secret});
+        let refusal = fleet.call("service.set", &params).await.unwrap_err();
+        assert_eq!(refusal.data["field"], json!("secret"));
+        assert!(!refusal.error.detail.contains("one") && !refusal.error.detail.contains("long"));
+    }
+    let list = fleet.call("customer.list", &json!([1])).await.unwrap_err();
+    assert_eq!(list.number, -32_602);
+}
