Keep the witness group from waiting forever for a removed VM

A VM without a record cannot acknowledge. When two of three witnesses were removed in a row, the previous group had no majority left that could end the joint phase, and vm.remove answered NotFound, so security changes would have stayed Pending for good. vm.remove now refuses a witness with InUse while a group change is under way, unless the process is stated to have ended, and an ended witness can be removed from the group without a record.

Found on the way: a VM that acknowledged a version later than the leader's would have counted for all later changes; such a version is cut to the leader's.

The tests' ports lie below the range of outgoing connections, and commands are tested with the real binaries.

--- a/src/bin/zinnia-ctl/flags.rs
+++ b/src/bin/zinnia-ctl/flags.rs
@@ -30,7 +30,7 @@
     note = "Each change has a change id, which is printed before it is sent. If the answer is lost, \
         send the same command with --change-id ID: it is applied once at most and gives the first answer.",
     error_code(1, "refused; the message has the numbered result code"),
-    error_code(2, "the command line or a parameter is not valid"),
+    error_code(2, "the command line, a parameter or the secret file is not valid"),
     error_code(3, "a file cannot be read"),
     error_code(
         5,
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -173,7 +173,7 @@
             Ok(change) => self.apply_change(index, &change),
             Err(e) => self.refuse(Fault::new(Code::BadParams, format!("change: {e}"))),
         };
-        serde_json::to_vec(&outcome).unwrap_or_default()
+        serde_json::to_vec(&outcome).expect("an outcome has a JSON form")
     }
 
     fn snapshot(&self) -> Vec<u8> {
--- a/src/catalog/apply.rs
+++ b/src/catalog/apply.rs
@@ -360,12 +360,25 @@
     }
 
     fn remove_vm(&self, expect: Version, name: &VmName, ended: bool) -> Planned {
-        let old = self.view.vms.get(name).ok_or_else(|| missing("VM", name))?;
-        check_expect(expect, old.version)?;
-        let mut plan = Plan::of(Edit::VmGone(name.clone()));
-        plan.regroup = true;
         let Witnesses { current, previous } = &self.view.witnesses;
-        if ended && (current.contains(name) || previous.contains(name)) {
+        let is_witness = current.contains(name) || previous.contains(name);
+        let old = self.view.vms.get(name);
+        // A witness that was removed while it ran has no record any more, but its group may wait for it.
+        if old.is_none() && !(ended && is_witness) {
+            return Err(missing("VM", name));
+        }
+        check_expect(expect, old.map_or(0, |vm| vm.version))?;
+        // Without a record it could not acknowledge, and the group that waits for it would wait forever.
+        if is_witness && !ended && !previous.is_empty() {
+            let detail = format!("VM \"{name}\" is needed for the change of the witness group under way");
+            return Err(Fault::new(Code::InUse, detail));
+        }
+        let mut plan = Plan {
+            regroup: true,
+            ..Plan::default()
+        };
+        plan.edits.extend(old.map(|vm| Edit::VmGone(vm.name.clone())));
+        if ended && is_witness {
             let without = |group: &[VmName]| group.iter().filter(|n| *n != name).cloned().collect();
             plan.edits.push(Edit::Witnesses(Witnesses {
                 current: without(current),
--- a/src/catalog/snapshot.rs
+++ b/src/catalog/snapshot.rs
@@ -38,7 +38,8 @@
         floor: catalog.floor,
         witness_version: catalog.witness_version,
     };
-    serde_json::to_vec(&stored).unwrap_or_default()
+    // An empty snapshot in place of an error would lose the configuration at the next start.
+    serde_json::to_vec(&stored).expect("the records have a JSON form")
 }
 
 pub(super) fn decode(data: &[u8]) -> Result<Catalog> {
--- a/src/control.rs
+++ b/src/control.rs
@@ -206,6 +206,9 @@
         if self.operators.admits(header.as_deref()) {
             return self.operators.respond(request).await;
         }
+        if !self.processes.admits(header.as_deref()) {
+            self.operator.count_unauthorized();
+        }
         self.processes.respond(request).await
     }
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -103,7 +103,10 @@
             })
             .collect();
         let failed = |e: prometheus::Error| Error::new(Code::Kernel, format!("metric: {e}"));
-        let opts = Opts::new("zinnia_control_calls_total", "Calls by method and result code.");
+        let opts = Opts::new(
+            "zinnia_control_calls_total",
+            "Calls by method and result code; calls with a wrong secret have no method.",
+        );
         let calls = IntCounterVec::new(opts, &["method", "code"]).map_err(failed)?;
         registry.register(Box::new(calls.clone())).map_err(failed)?;
         let this = Arc::new(Self {
@@ -166,6 +169,12 @@
         self.replication.status().leader
     }
 
+    /// Counts a call with a wrong secret; it is not logged, since anyone could fill the log with it.
+    pub(crate) fn count_unauthorized(&self) {
+        let number = Code::Unauthorized.number().to_string();
+        self.calls.with_label_values(&["", &number]).inc();
+    }
+
     /// Counts a call by its result, and logs refusals so that the timeline explains them.
     fn count(&self, method: &'static str, reply: &Reply) {
         let number = reply.as_ref().err().map_or(0, |e| e.code());
--- a/src/operator/acks.rs
+++ b/src/operator/acks.rs
@@ -45,6 +45,8 @@
         if view.vms.get(vm).is_none_or(|v| v.incarnation != incarnation) {
             return;
         }
+        // A version that this replica does not have yet must not count for a later change.
+        let version = version.min(view.version);
         let ack = Ack { incarnation, version };
         let kept = self.by_vm.entry(vm.clone()).or_insert(ack);
         // A restarted VM has lost what its former run acknowledged.
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -319,21 +319,35 @@
 }
 
 #[test]
-fn a_removed_witness_stays_in_the_previous_group_unless_it_has_ended() {
-    for ended in [false, true] {
-        let mut log = Log::default();
-        for n in 1..=3 {
-            log.good(0, vm(n, "a", 1));
-            let version = log.catalog.witness_version();
-            log.good(0, Op::WitnessSettle { version });
-        }
-        let expect = log.catalog.view().vms["e1"].version;
-        let name = "e1".into();
-        log.good(expect, Op::VmRemove { name, ended });
-        let group = log.catalog.view().witnesses.clone();
-        assert_eq!(group.current, ["e2", "e3"]);
-        assert_eq!(group.previous.contains(&"e1".into()), !ended);
+fn a_witness_is_waited_for_until_it_is_removed_as_ended() {
+    let mut log = Log::default();
+    for n in 1..=3 {
+        log.good(0, vm(n, "a", 1));
+        let version = log.catalog.witness_version();
+        log.good(0, Op::WitnessSettle { version });
     }
+    let remove = |n: u16, ended| Op::VmRemove {
+        name: format!("e{n}").into(),
+        ended,
+    };
+    let expect = |log: &Log, n: u16| log.catalog.view().vms[format!("e{n}").as_str()].version;
+    let e1 = expect(&log, 1);
+    log.good(e1, remove(1, false));
+    let group = log.catalog.view().witnesses.clone();
+    assert_eq!(group.current, ["e2", "e3"]);
+    assert_eq!(group.previous, ["e1", "e2", "e3"]);
+    // Without a majority of the previous group no later change of the group would ever end.
+    let e2 = expect(&log, 2);
+    assert_eq!(log.code(e2, remove(2, false)), Code::InUse);
+    log.good(e2, remove(2, true));
+    assert_eq!(log.code(0, remove(1, false)), Code::NotFound);
+    log.good(0, remove(1, true));
+    let group = log.catalog.view().witnesses.clone();
+    assert_eq!(
+        (group.current, group.previous),
+        (vec!["e3".into()], vec!["e3".into()])
+    );
+    assert_eq!(log.code(0, remove(1, true)), Code::NotFound);
 }
 
 #[test]
--- /dev/null
+++ b/tests/ctl.rs
@@ -0,0 +1,326 @@
+//! Guards against a command line that loses a change, hides a refusal or leaves its exit code open.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::io::Read;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use serde_json::Value;
+use serde_json::json;
+use zinnialoom::rpc::Client;
+use zinnialoom::secret::Secret;
+
+use crate::fleet::FLEET;
+use crate::fleet::Plan;
+
+const CONTROL: &str = env!("CARGO_BIN_EXE_zinnia-control");
+const CTL: &str = env!("CARGO_BIN_EXE_zinnia-ctl");
+
+/// A control process with one replica.
+struct Process {
+    plan: Plan,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    fn start() -> Self {
+        let plan = Plan::new(1);
+        let settings = plan.path("control.json");
+        std::fs::write(&settings, plan.text(0)).unwrap();
+        let mut this = Self {
+            plan,
+            settings,
+            child: None,
+        };
+        this.open();
+        this
+    }
+
+    fn open(&mut self) {
+        let mut command = Command::new(CONTROL);
+        command.arg("--settings").arg(&self.settings);
+        self.child = Some(command.stderr(Stdio::piped()).spawn().unwrap());
+        // The tool tries again until the replica leads.
+        assert_eq!(code(&self.ctl("customer list")), 0);
+    }
+
+    /// Ends the process with a signal; its exit code and its log.
+    fn end(&mut self, signal: &str) -> (Option<i32>, String) {
+        let mut child = self.child.take().unwrap();
+        let id = child.id().to_string();
+        assert!(
+            Command::new("kill")
+                .args([signal, &id])
+                .status()
+                .unwrap()
+                .success()
+        );
+        let mut log = String::new();
+        child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        (child.wait().unwrap().code(), log)
+    }
+
+    fn command(&self, words: &str) -> Command {
+        let mut command = Command::new(CTL);
+        command
+            .args(words.split_whitespace())
+            .env("ZINNIA_CONTROL", self.plan.addresses[0].to_string())
+            .env("ZINNIA_SECRET", self.plan.path("operator"));
+        command
+    }
+
+    fn ctl(&self, words: &str) -> Output {
+        self.command(words).output().unwrap()
+    }
+
+    /// The JSON answer of a command that must succeed.
+    fn json(&self, words: &str) -> Value {
+        let output = self.ctl(&format!("{words} --json"));
+        assert_eq!(code(&output), 0, "{words}: {}", errors(&output));
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+
+    fn process_call(&self, method: &str, params: Value) -> Value {
+        let client = Client::new(self.plan.addresses[0], Secret::new(FLEET));
+        task::block_on(client.call(method, &params, Duration::from_secs(5))).unwrap()
+    }
+
+    fn join(&self, n: u16) {
+        let params = json!({"vm": format!("e{n}"), "domain": "d", "incarnation": 1,
+            "caller": format!("127.0.0.1:{n}"), "peer": format!("127.0.0.1:{}", 10 + n)});
+        self.process_call("vm.join", params);
+    }
+
+    fn fetch(&self, n: u16, version: u64) -> Value {
+        let params = json!({"vm": format!("e{n}"), "incarnation": 1, "version": version});
+        self.process_call("config.fetch", params)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+fn errors(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+#[test]
+fn each_command_reaches_its_method() {
+    let control = Process::start();
+    let set = |words: &str| control.json(words)["version"].as_u64().unwrap();
+    let service = set("service set --id forecast --floor 60");
+    let route = set("route set --id r --prefix /forecast --service forecast --open --limit-ms 900");
+    let customer = set("customer set --id a --rate 200 --burst 400");
+    let key = set("key issue --customer a --id k");
+    assert_eq!(
+        control.json("customer show --id a")["object"]["limit"]["burst"],
+        json!(400)
+    );
+    let shown = control.json("route show --id r");
+    assert_eq!(
+        (&shown["object"]["open"], &shown["object"]["limit_ms"]),
+        (&json!(true), &json!(900))
+    );
+    assert_eq!(
+        control.json("service show --id forecast")["object"]["floor"],
+        json!(60)
+    );
+    for list in [
+        "customer list",
+        "route list",
+        "service list",
+        "key list --customer a",
+    ] {
+        assert_eq!(
+            control.json(list)["objects"].as_array().unwrap().len(),
+            1,
+            "{list}"
+        );
+    }
+    control.json(&format!("key withdraw --id k --expect {key} --wait"));
+    control.json(&format!("customer remove --id a --expect {customer}"));
+    control.json(&format!("route remove --id r --expect {route}"));
+    control.json(&format!("service remove --id forecast --expect {service}"));
+    control.join(1);
+    let vm = control.json("vm list")["objects"][0]["version"].as_u64().unwrap();
+    control.json(&format!("vm remove --id e1 --expect {vm} --ended"));
+    assert_eq!(control.json("status")["vms"], json!(0));
+    assert_eq!(code(&control.ctl(&format!("wait {vm}"))), 0);
+}
+
+#[test]
+fn a_resent_command_is_applied_once_also_after_a_crash() {
+    let mut control = Process::start();
+    control.json("customer set --id a --rate 1 --burst 1");
+    let issue = "key issue --customer a --change-id lost-answer";
+    let first = control.json(issue);
+    let key = first["key"].as_str().unwrap().to_owned();
+    let (_, log) = control.end("-KILL");
+    assert!(!log.contains(&key), "the log holds a key");
+    control.open();
+    let second = control.json(issue);
+    assert_eq!(
+        (&second["version"], &second["repeated"]),
+        (&first["version"], &json!(true))
+    );
+    assert_eq!(second.get("key"), None);
+    assert_eq!(control.json("key list")["objects"].as_array().unwrap().len(), 1);
+    // The files of the replica hold the digest only.
+    for file in std::fs::read_dir(control.plan.path("data0")).unwrap() {
+        let path = file.unwrap().path();
+        let data = std::fs::read(&path).unwrap();
+        let holds = data.windows(key.len()).any(|w| w == key.as_bytes());
+        assert!(!holds, "{} holds a key", path.display());
+    }
+}
+
+#[test]
+fn refusals_have_their_documented_exit_codes() {
+    let control = Process::start();
+    control.json("customer set --id a --rate 2 --burst 2");
+    let lower = "customer set --id a --rate 1 --burst 1 --change-id lower --expect";
+    let version = control.json("customer show --id a")["object"]["version"].to_string();
+    for (words, exit, says) in [
+        ("customer set --id a --rate 3 --burst 3", 7, "Conflict (301)"),
+        ("customer show --id b", 1, "NotFound (302)"),
+        (
+            "customer set --id b --rate 0 --burst 3",
+            2,
+            "BadParams (303): rate",
+        ),
+        ("customer set --id b --burst 3", 2, "--rate"),
+        ("customer sell --id b", 2, "sell"),
+        ("", 2, "a command is missing"),
+        ("--control nowhere customer list", 2, "nowhere"),
+        ("--secret /dev/null/none customer list", 2, "secret file"),
+        (
+            "--limit 1 --control 127.0.0.1:9 customer list",
+            1,
+            "Unreachable (311)",
+        ),
+        (
+            "service set --id s --floor 1 --join-secret /dev/null/none",
+            3,
+            "/dev/null/none",
+        ),
+    ] {
+        let output = control.ctl(words);
+        assert_eq!(code(&output), exit, "{words}: {}", errors(&output));
+        assert!(errors(&output).contains(says), "{words}: {}", errors(&output));
+    }
+    control.join(1);
+    let output = control.ctl(&format!("{lower} {version}"));
+    assert_eq!(code(&output), 6, "{}", errors(&output));
+    assert!(errors(&output).contains("Pending (307)"));
+    let help = text(&control.ctl("--help"));
+    for exit in [
+        "1 refused",
+        "2 the command line",
+        "3 a file",
+        "5 no answer",
+        "6 durable",
+        "7 conflict",
+    ] {
+        assert!(help.contains(exit), "{help}");
+    }
+    assert!(help.contains("key issue --customer ministry"));
+}
+
+#[test]
+fn a_wait_shows_its_progress_until_all_vms_hold_the_version() {
+    let control = Process::start();
+    control.join(1);
+    control.join(2);
+    let version = control.fetch(1, 0)["version"].as_u64().unwrap() + 1;
+    let words = "customer set --id a --rate 1 --burst 1 --wait --wait-limit 20";
+    let mut command = control.command(words);
+    let child = command
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let held = |n| {
+        let end = Instant::now() + Duration::from_secs(10);
+        while control.fetch(n, 0)["version"].as_u64().unwrap() < version {
+            assert!(Instant::now() < end);
+        }
+        control.fetch(n, version);
+    };
+    held(1);
+    std::thread::sleep(Duration::from_millis(1_200));
+    held(2);
+    let output = child.wait_with_output().unwrap();
+    assert_eq!(code(&output), 0, "{}", errors(&output));
+    let progress = errors(&output);
+    let first = progress.find("on 1 of 2 VMs").expect(&progress);
+    assert!(progress[first..].contains("on 2 of 2 VMs"), "{progress}");
+    assert!(progress.starts_with("change id: "));
+    control.join(3);
+    let output = control.ctl("customer set --id c --rate 1 --burst 1 --wait --wait-limit 1");
+    assert_eq!(code(&output), 6, "{}", errors(&output));
+}
+
+#[test]
+fn people_get_tables() {
+    let control = Process::start();
+    control.json("customer set --id ministry --rate 200 --burst 400");
+    let table = text(&control.ctl("customer list"));
+    let lines: Vec<&str> = table.lines().collect();
+    assert!(
+        lines[0].starts_with("ID        LIMIT") && lines[0].ends_with("VERSION"),
+        "{table}"
+    );
+    assert!(lines[1].starts_with("ministry  burst 400, rate 200"), "{table}");
+    assert!(text(&control.ctl("key list")).starts_with("(none)"));
+}
+
+#[test]
+fn signals_stop_the_process_and_settings_are_checked_first() {
+    for signal in ["-TERM", "-INT"] {
+        let mut control = Process::start();
+        let (exit, log) = control.end(signal);
+        assert_eq!(exit, Some(0), "{log}");
+        assert!(log.contains("stopped"), "{log}");
+    }
+    let control = Process::start();
+    let check = |words: &[&str]| Command::new(CONTROL).args(words).output().unwrap();
+    let settings = control.settings.to_str().unwrap();
+    assert_eq!(code(&check(&["--settings", settings, "--check"])), 0);
+    assert_eq!(code(&check(&["--version"])), 0);
+    assert_eq!(code(&check(&[])), 2);
+    assert_eq!(code(&check(&["--setings", settings])), 2);
+    let taken = check(&["--settings", settings]);
+    assert_eq!(code(&taken), 3, "{}", errors(&taken));
+    let path = control.plan.path("wrong.json");
+    std::fs::write(&path, control.plan.text(0).replace("heartbeat_ms", "heartbeat")).unwrap();
+    let wrong = check(&["--settings", path.to_str().unwrap(), "--check"]);
+    assert_eq!(code(&wrong), 2);
+    assert!(errors(&wrong).contains("heartbeat: unknown field"));
+    std::fs::write(control.plan.path("operator"), FLEET).unwrap();
+    let same = check(&["--settings", settings, "--check"]);
+    assert_eq!(code(&same), 2);
+    assert!(errors(&same).contains("same secret"));
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -135,7 +135,7 @@
     assert_eq!(refusal.error.code, Code::Pending);
     assert_eq!(refusal.data["in_force"], json!({"acknowledged": 0, "of": 3}));
     let version = refusal.data["version"].as_u64().unwrap();
-    // An acknowledgement of another run, of a VM that is not registered, or of an older version does not count.
+    // Acknowledgements of another run, of a VM that is not registered, or of an older version do not count.
     fetch(&fleet, 1, 1, version).await;
     fetch(&fleet, 2, 9, version).await;
     fetch(&fleet, 4, 1, version).await;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,42 +27,53 @@
 const WAIT: Duration = Duration::from_secs(20);
 const CALL: Duration = Duration::from_secs(15);
 
+/// Addresses and files of control replicas.
+pub struct Plan {
+    folder: TempDir,
+    pub addresses: Vec<SocketAddr>,
+}
+
 /// Up to a few control replicas; each can be stopped and started again on its files.
 pub struct Fleet {
-    folder: TempDir,
-    addresses: Vec<SocketAddr>,
+    plan: Plan,
     running: Vec<Option<Control>>,
 }
 
+/// Free ports below those that the system gives to outgoing connections, so that none of these takes
+/// a port between the check and the start of the replica.
 fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let held: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-        .collect();
-    held.iter().map(|l| l.local_addr().unwrap()).collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    let mut found = Vec::new();
+    while found.len() < count {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(12_000 + number % 20_000).unwrap();
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            found.push(SocketAddr::from(([127, 0, 0, 1], port)));
+        }
+    }
+    found
 }
 
 #[allow(dead_code)]
-impl Fleet {
-    /// Starts the replicas and waits for a leader.
-    pub async fn start(count: usize) -> Self {
+impl Plan {
+    /// Writes the secrets and chooses free ports.
+    pub fn new(count: usize) -> Self {
         let folder = TempDir::new().unwrap();
         std::fs::write(folder.path().join("operator"), OPERATOR).unwrap();
         std::fs::write(folder.path().join("fleet"), FLEET).unwrap();
-        let mut fleet = Self {
-            folder,
-            addresses: free_ports(count),
-            running: (0..count).map(|_| None).collect(),
-        };
-        for n in 0..count {
-            fleet.open(n).await;
-        }
-        fleet.leader().await;
-        fleet
+        let addresses = free_ports(count);
+        Self { folder, addresses }
+    }
+
+    /// A file or folder of the replicas.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
     }
 
     /// The settings text of a replica.
     pub fn text(&self, n: usize) -> String {
-        let path = |name: &str| self.folder.path().join(name);
+        let path = |name: &str| self.path(name);
         let peer = |(n, a): (usize, &SocketAddr)| json!({"vm": format!("c{n}"), "address": a});
         let control: Vec<Value> = self.addresses.iter().enumerate().map(peer).collect();
         json!({
@@ -70,9 +84,25 @@
         })
         .to_string()
     }
+}
+
+#[allow(dead_code)]
+impl Fleet {
+    /// Starts the replicas and waits for a leader.
+    pub async fn start(count: usize) -> Self {
+        let mut fleet = Self {
+            plan: Plan::new(count),
+            running: (0..count).map(|_| None).collect(),
+        };
+        for n in 0..count {
+            fleet.open(n).await;
+        }
+        fleet.leader().await;
+        fleet
+    }
 
     pub fn settings(&self, n: usize) -> ControlSettings {
-        check_control(&self.text(n)).unwrap()
+        check_control(&self.plan.text(n)).unwrap()
     }
 
     /// Starts a replica on its files.
@@ -86,7 +116,7 @@
     }
 
     pub fn client(&self, n: usize, secret: &str) -> Client {
-        Client::new(self.addresses[n], Secret::new(secret))
+        Client::new(self.plan.addresses[n], Secret::new(secret))
     }
 
     /// Calls one replica; an error keeps its data.
