Hand free upstream connections to waiting requests in order

Cause: a later request could take a connection that was freed for an earlier one, which then waited at the end of the line again. Conclusion: the connection, or the right to open one, travels in the message that wakes the request.

--- a/src/pool.rs
+++ b/src/pool.rs
@@ -44,18 +44,14 @@
 struct Host {
     idle: Vec<Idle>,
     open: usize,
-    /// Requests that wait until a connection is idle or closed.
-    waiting: VecDeque<Sender<()>>,
+    /// Requests that wait for a connection; while there are any, nothing is idle.
+    waiting: VecDeque<Sender<Free>>,
 }
 
-impl Host {
-    fn wake(&mut self) {
-        while let Some(next) = self.waiting.pop_front() {
-            if next.try_send(()).is_ok() {
-                return;
-            }
-        }
-    }
+/// What a waiting request gets, so that a later request cannot take it first.
+enum Free {
+    Idle(Connection),
+    Open(Open),
 }
 
 struct Idle {
@@ -88,14 +84,23 @@
 impl Drop for Open {
     fn drop(&mut self) {
         let Some(hosts) = self.hosts.upgrade() else { return };
-        let mut hosts = hosts.lock().unwrap();
-        let Some(host) = hosts.get_mut(&self.address) else {
+        let mut table = hosts.lock().unwrap();
+        let Some(host) = table.get_mut(&self.address) else {
             return;
         };
+        if let Some(next) = host.waiting.pop_front() {
+            let open = Open {
+                address: self.address,
+                hosts: self.hosts.clone(),
+            };
+            drop(table);
+            // If the request no longer waits, dropping the message serves the one after it.
+            let _ = next.try_send(Free::Open(open));
+            return;
+        }
         host.open -= 1;
-        host.wake();
-        if host.open == 0 && host.waiting.is_empty() {
-            hosts.remove(&self.address);
+        if host.open == 0 {
+            table.remove(&self.address);
         }
     }
 }
@@ -125,13 +130,16 @@
             if reuse && let Some(conn) = self.reuse(pick.address).await {
                 return Ok(conn);
             }
-            let left = end.saturating_duration_since(Instant::now());
             let free = match self.admit(pick) {
-                Ok(open) => return connect(pick, open, left).await,
+                Ok(open) => return connect(pick, open, left(end)).await,
                 Err(free) => free,
             };
-            if future::timeout(left, free.recv()).await.is_err() {
-                return Err(Unsent::Full);
+            match future::timeout(left(end), free.recv()).await {
+                Ok(Ok(Free::Open(open))) => return connect(pick, open, left(end)).await,
+                Ok(Ok(Free::Idle(conn))) if !reuse => return connect(pick, conn.open, left(end)).await,
+                Ok(Ok(Free::Idle(conn))) if is_quiet(&conn.stream).await => return Ok(conn),
+                Ok(_) => {}
+                Err(_) => return Err(Unsent::Full),
             }
         }
     }
@@ -146,7 +154,7 @@
         }
     }
 
-    fn admit(&self, pick: &Pick) -> Result<Open, Receiver<()>> {
+    fn admit(&self, pick: &Pick) -> Result<Open, Receiver<Free>> {
         let mut hosts = self.hosts.lock().unwrap();
         let host = hosts.entry(pick.address).or_default();
         let mut spare = None;
@@ -154,6 +162,7 @@
             spare = host.idle.pop();
             if spare.is_none() {
                 let (sender, receiver) = channel::bounded(1);
+                host.waiting.retain(|waiting| !waiting.is_closed());
                 host.waiting.push_back(sender);
                 return Err(receiver);
             }
@@ -171,15 +180,31 @@
     /// Keeps a connection whose last answer was read to its end.
     pub(crate) fn keep(&self, mut conn: Connection) {
         conn.reused = true;
-        let address = conn.open.address;
-        let since = Instant::now();
-        let mut hosts = self.hosts.lock().unwrap();
-        let host = hosts.entry(address).or_default();
-        host.idle.push(Idle { conn, since });
-        host.wake();
+        loop {
+            let next = {
+                let mut hosts = self.hosts.lock().unwrap();
+                let host = hosts.entry(conn.open.address).or_default();
+                let Some(next) = host.waiting.pop_front() else {
+                    let since = Instant::now();
+                    return host.idle.push(Idle { conn, since });
+                };
+                next
+            };
+            conn = match next.try_send(Free::Idle(conn)) {
+                Ok(()) => return,
+                Err(e) => match e.into_inner() {
+                    Free::Idle(conn) => conn,
+                    Free::Open(_) => return,
+                },
+            };
+        }
     }
 }
 
+fn left(end: Instant) -> Duration {
+    end.saturating_duration_since(Instant::now())
+}
+
 async fn connect(pick: &Pick, open: Open, limit: Duration) -> Result<Connection, Unsent> {
     let connect = TcpStream::connect(pick.address);
     let stream = future::timeout(limit.min(CONNECT_LIMIT), connect)
