Record refusals, failed attempts, changes and roles in the time line

The time line could not say why a request was refused: the request path and the control process recorded nothing. A VM with an outdated configuration answered NoRoute or WrongKey, which tells a caller to give up; it answers ConfigStale now. Ruled out: one event for each request; only requests without an upstream's answer are recorded, so the ring keeps hours instead of seconds.

--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -80,7 +80,7 @@
 }
 
 /// What a change does.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[serde(rename_all = "snake_case")]
 pub enum Op {
     /// Creates or replaces a customer.
--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,10 @@
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::event;
+use crate::event::About;
+use crate::event::Kind;
+use crate::fault;
 use crate::kernel::Kernel;
 use crate::kernel::Service;
 use crate::operator::Operator;
@@ -96,6 +100,8 @@
     /// `Settings`, `Bind`, `Io` or `Corrupt`.
     pub async fn open(settings: &ControlSettings) -> Result<Self> {
         let (operator_secret, fleet_secret) = secrets(settings)?;
+        let common = &settings.common;
+        event::open(&common.vm, &common.domain, common.event_count);
         // The address is bound first, so that a second process does not touch the files of the first.
         let listener = TcpListener::bind(settings.bind)
             .await
@@ -115,6 +121,8 @@
         )?;
         kernel.register(OperatorService(Arc::clone(&operator)))?;
         let mut processes = operator.process_module()?;
+        event::register(&mut processes)?;
+        fault::register(&mut processes)?;
         replication.register(&mut processes)?;
         let state = State {
             operators: rpc::Server::new(operator.operator_module()?, operator_secret),
@@ -125,6 +133,10 @@
             registry,
         };
         let front = kernel.register(Front::spawn(listener, app(state)))?;
+        event::record(
+            Kind::Started,
+            About::detail(format!("control on {}", front.address)),
+        );
         Ok(Self {
             address: front.address,
             replication,
@@ -149,6 +161,7 @@
 
     /// Finishes the calls in progress and stops all services.
     pub async fn stop(&self) {
+        event::record(Kind::Stopping, About::default());
         self.kernel.stop().await;
     }
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -33,6 +33,9 @@
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::event;
+use crate::event::About;
+use crate::event::Kind;
 use crate::id::Version;
 use crate::id::VmName;
 use crate::kernel::Service;
@@ -181,6 +184,12 @@
         self.calls.with_label_values(&[method, &number.to_string()]).inc();
         let Err(fault) = reply else { return };
         if method != "config.fetch" {
+            let code = u16::try_from(number).unwrap_or_default();
+            let about = About {
+                code,
+                ..About::detail(format!("{method}: {}", fault.message()))
+            };
+            event::record(Kind::ChangeRefused, about);
             warn!("{method} refused with {number}: {}", fault.message());
         }
     }
@@ -190,7 +199,13 @@
         let data =
             serde_json::to_vec(change).map_err(|e| Error::new(Code::BadParams, format!("change: {e}")))?;
         let outcome = self.replication.propose(data).await?;
-        serde_json::from_slice(&outcome).map_err(|e| Error::new(Code::BadAnswer, format!("outcome: {e}")))
+        let outcome: Outcome = serde_json::from_slice(&outcome)
+            .map_err(|e| Error::new(Code::BadAnswer, format!("outcome: {e}")))?;
+        if outcome.fault.is_none() && !outcome.repeated {
+            let detail = format!("{} version {} change {}", change.op, outcome.version, change.id);
+            event::record(Kind::ChangeAccepted, About::detail(detail));
+        }
+        Ok(outcome)
     }
 
     /// Confirms that this replica leads a majority at some time after the call began.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -45,6 +45,7 @@
 use crate::stage::Quarantine;
 use crate::view::Customer;
 use crate::view::Route;
+use crate::view::View;
 
 mod attempt;
 mod forward;
@@ -54,11 +55,13 @@
 mod queue;
 mod run;
 mod stream;
+mod trace;
 
 use self::job::Job;
 use self::meter::Meter;
 use self::queue::Queue;
 use self::run::Done;
+use self::trace::Trace;
 
 /// Paths under this prefix are answered by the system itself.
 pub const SYSTEM_PREFIX: &str = "/.zinnia/";
@@ -206,12 +209,14 @@
             return self.shared.parts.directory.respond(request).await;
         }
         let start = Instant::now();
-        let done = match self.shared.admit(request, start).await {
+        let mut trace = Trace::new(&request, || self.shared.next_id());
+        let mut done = match self.shared.admit(request, start, &mut trace).await {
             Ok(Admitted::Run(job, ticket)) => self.shared.clone().execute(job, ticket, caller).await,
             Ok(Admitted::Recorded(response)) => Done::recorded(response),
             Err(error) => Done::refused(&error),
         };
         self.shared.meter.count(&done, start.elapsed());
+        trace.end(&mut done);
         done.response
     }
 
@@ -220,6 +225,16 @@
     }
 }
 
+/// Route and customer of a request.
+struct Identity {
+    route: Route,
+    /// The key as the caller sent it, to remove it from what upstreams see.
+    key: Option<String>,
+    customer: Option<Customer>,
+    /// Digest of a key that admits the request.
+    digest: Option<SmolStr>,
+}
+
 type Ticket<S> = <<S as Stages>::Claims as Claims>::Ticket;
 
 enum Admitted<S: Stages> {
@@ -228,18 +243,22 @@
 }
 
 impl<S: Stages> Shared<S> {
-    async fn admit(&self, mut request: Request, start: Instant) -> Result<Admitted<S>> {
+    async fn admit(&self, mut request: Request, start: Instant, trace: &mut Trace) -> Result<Admitted<S>> {
         fail::fail_point!("proxy-accepted");
         let view = self.parts.config.view();
-        let route = view.route(request.url().path()).ok_or(Code::NoRoute)?.clone();
-        let key = key::find(&request)?;
-        let (customer, digest) = match route.open {
-            true => (None, None),
-            false => {
-                let digest = key::digest(key.as_deref())?;
-                (Some(key::customer(&view, &digest)?.clone()), Some(digest))
-            }
-        };
+        let found = self.identify(&view, &request, trace);
+        // A route or key that an outdated configuration lacks may exist, so the refusal must not
+        // tell the caller to give up.
+        let is_unsure = matches!(&found, Err(e) if matches!(e.code, Code::NoRoute | Code::WrongKey));
+        if is_unsure && !self.parts.config.is_fresh(Instant::now()) {
+            return Err(Code::ConfigStale.into());
+        }
+        let Identity {
+            route,
+            key,
+            customer,
+            digest,
+        } = found?;
         key::check_place(&request, key.as_deref())?;
         if customer.is_some() && !self.parts.config.is_fresh(Instant::now()) {
             return Err(Code::ConfigStale.into());
@@ -249,6 +268,7 @@
         key::check_body(&body, key.as_deref())?;
         fail::fail_point!("proxy-body");
         let mut job = Job::new(&request, body, route, deadline, key.as_deref());
+        job.id = trace.id.clone();
         job.customer = customer.as_ref().map(|c| c.id.clone());
         job.key = digest;
         job.fingerprint = job.fingerprint();
@@ -263,6 +283,29 @@
         self.claim(job, customer.as_ref(), id).await
     }
 
+    fn identify(&self, view: &View, request: &Request, trace: &mut Trace) -> Result<Identity> {
+        let route = view.route(request.url().path()).ok_or(Code::NoRoute)?.clone();
+        trace.service = Some(route.service.clone());
+        let key = key::find(request)?;
+        if route.open {
+            return Ok(Identity {
+                route,
+                key,
+                customer: None,
+                digest: None,
+            });
+        }
+        let digest = key::digest(key.as_deref())?;
+        let customer = key::customer(view, &digest)?.clone();
+        trace.customer = Some(customer.id.clone());
+        Ok(Identity {
+            route,
+            key,
+            customer: Some(customer),
+            digest: Some(digest),
+        })
+    }
+
     async fn claim(
         &self,
         job: Job,
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -15,6 +15,9 @@
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::event;
+use crate::event::About;
+use crate::event::Kind;
 use crate::frame::Buffered;
 use crate::frame::Frame;
 use crate::frame::Framing;
@@ -88,6 +91,10 @@
     fn give_back(&mut self, attempt: Attempt) {
         let Some(pick) = self.pick.take() else { return };
         let service = pick.service.clone();
+        if !matches!(attempt, Attempt::Answered | Attempt::Cancelled) {
+            let about = About::detail(attempt.to_string()).request(&self.job.id);
+            event::record(Kind::AttemptFailed, about.upstream(&service, &pick.upstream));
+        }
         let sample = Sample {
             attempt,
             latency: self.latency,
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -13,6 +13,7 @@
 use tide::http::headers::HeaderValue;
 
 use crate::id::CustomerId;
+use crate::id::RequestId;
 use crate::view::Route;
 
 use super::forward;
@@ -20,6 +21,8 @@
 use super::sha256;
 
 pub(crate) struct Job {
+    /// Names the request in the time line.
+    pub(crate) id: RequestId,
     pub(crate) method: Method,
     /// Path and query, without any key.
     pub(crate) target: String,
@@ -47,6 +50,7 @@
         key: Option<&str>,
     ) -> Self {
         Self {
+            id: RequestId::default(),
             method: request.method(),
             target: forward::target(request.url(), key),
             headers: forward::headers(request, key),
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -48,6 +48,8 @@
     pub(crate) run: Run,
     /// Time that the last upstream took.
     pub(crate) upstream: Duration,
+    /// What failed, for the time line.
+    pub(crate) detail: String,
 }
 
 impl Done {
@@ -58,6 +60,7 @@
             code: error.code,
             run: error.code.run(),
             upstream: Duration::ZERO,
+            detail: error.detail.clone(),
         }
     }
 
@@ -68,6 +71,7 @@
             code: Code::Ok,
             run: Run::Yes,
             upstream,
+            detail: String::new(),
         }
     }
 
@@ -84,6 +88,7 @@
             code: Code::CallerLeft,
             run: Run::Unknown,
             upstream: Duration::ZERO,
+            detail: String::new(),
         }
     }
 }
--- a/src/replication/worker.rs
+++ b/src/replication/worker.rs
@@ -16,6 +16,9 @@
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::event;
+use crate::event::About;
+use crate::event::Kind;
 use crate::id::Index;
 use crate::id::Term;
 use crate::id::VmName;
@@ -198,6 +201,10 @@
             Output::Rejected { token, leader } => self.reject(token, leader),
             Output::Role(role) => {
                 let status = self.replica.status();
+                event::record(
+                    Kind::Role,
+                    About::detail(format!("{role} in term {}", status.term)),
+                );
                 let leader = status.leader.unwrap_or_default();
                 log::info!("replica is {role} in term {}, leader \"{leader}\"", status.term);
             }
