Test key issue by the real binaries while control leaders are killed

Guards against a change that is lost or applied twice when the answer of its call is lost: 60 keys through three processes, each sent twice or more, and the leader killed three times with a call under way.

--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -24,38 +24,44 @@
 const CONTROL: &str = env!("CARGO_BIN_EXE_zinnia-control");
 const CTL: &str = env!("CARGO_BIN_EXE_zinnia-ctl");
 
-/// A control process with one replica.
-struct Process {
+/// Control processes, one for each replica.
+struct Processes {
     plan: Plan,
     settings: PathBuf,
-    child: Option<Child>,
+    running: Vec<Option<Child>>,
 }
 
-impl Process {
-    fn start() -> Self {
-        let plan = Plan::new(1);
-        let settings = plan.path("control.json");
-        std::fs::write(&settings, plan.text(0)).unwrap();
+impl Processes {
+    fn start(count: usize) -> Self {
+        let plan = Plan::new(count);
         let mut this = Self {
+            settings: plan.path("control0.json"),
             plan,
-            settings,
-            child: None,
+            running: Vec::new(),
         };
-        this.open();
+        for n in 0..count {
+            this.running.push(Some(this.spawn(n)));
+        }
+        // The tool tries again until a replica leads.
+        assert_eq!(code(&this.ctl("customer list")), 0);
         this
     }
 
-    fn open(&mut self) {
+    fn spawn(&self, n: usize) -> Child {
+        let settings = self.plan.path(&format!("control{n}.json"));
+        std::fs::write(&settings, self.plan.text(n)).unwrap();
         let mut command = Command::new(CONTROL);
-        command.arg("--settings").arg(&self.settings);
-        self.child = Some(command.stderr(Stdio::piped()).spawn().unwrap());
-        // The tool tries again until the replica leads.
-        assert_eq!(code(&self.ctl("customer list")), 0);
+        command.arg("--settings").arg(&settings);
+        command.stderr(Stdio::piped()).spawn().unwrap()
+    }
+
+    fn open(&mut self, n: usize) {
+        self.running[n] = Some(self.spawn(n));
     }
 
-    /// Ends the process with a signal; its exit code and its log.
-    fn end(&mut self, signal: &str) -> (Option<i32>, String) {
-        let mut child = self.child.take().unwrap();
+    /// Ends a process with a signal; its exit code and its log.
+    fn end(&mut self, n: usize, signal: &str) -> (Option<i32>, String) {
+        let mut child = self.running[n].take().unwrap();
         let id = child.id().to_string();
         assert!(
             Command::new("kill")
@@ -69,11 +75,25 @@
         (child.wait().unwrap().code(), log)
     }
 
+    /// The replica that leads, as a running one sees it.
+    fn leader(&self) -> usize {
+        loop {
+            let leader = self.json("status")["leader"].clone();
+            if let Some(n) = leader.as_str().and_then(|l| l[1..].parse::<usize>().ok()) {
+                if self.running[n].is_some() {
+                    return n;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
     fn command(&self, words: &str) -> Command {
+        let addresses: Vec<String> = self.plan.addresses.iter().map(ToString::to_string).collect();
         let mut command = Command::new(CTL);
         command
             .args(words.split_whitespace())
-            .env("ZINNIA_CONTROL", self.plan.addresses[0].to_string())
+            .env("ZINNIA_CONTROL", addresses.join(","))
             .env("ZINNIA_SECRET", self.plan.path("operator"));
         command
     }
@@ -106,9 +126,9 @@
     }
 }
 
-impl Drop for Process {
+impl Drop for Processes {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
+        for mut child in self.running.drain(..).flatten() {
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -129,7 +149,7 @@
 
 #[test]
 fn each_command_reaches_its_method() {
-    let control = Process::start();
+    let control = Processes::start(1);
     let set = |words: &str| control.json(words)["version"].as_u64().unwrap();
     let service = set("service set --id forecast --floor 60");
     let route = set("route set --id r --prefix /forecast --service forecast --open --limit-ms 900");
@@ -173,14 +193,14 @@
 
 #[test]
 fn a_resent_command_is_applied_once_also_after_a_crash() {
-    let mut control = Process::start();
+    let mut control = Processes::start(1);
     control.json("customer set --id a --rate 1 --burst 1");
     let issue = "key issue --customer a --change-id lost-answer";
     let first = control.json(issue);
     let key = first["key"].as_str().unwrap().to_owned();
-    let (_, log) = control.end("-KILL");
+    let (_, log) = control.end(0, "-KILL");
     assert!(!log.contains(&key), "the log holds a key");
-    control.open();
+    control.open(0);
     let second = control.json(issue);
     assert_eq!(
         (&second["version"], &second["repeated"]),
@@ -197,9 +217,52 @@
     }
 }
 
+#[test]
+fn no_change_is_lost_or_applied_twice_while_leaders_are_killed() {
+    const CHANGES: usize = 60;
+    let mut control = Processes::start(3);
+    control.json("customer set --id a --rate 1 --burst 1");
+    let mut keys = Vec::new();
+    let mut hidden = 0;
+    for n in 0..CHANGES {
+        let issue = format!("key issue --customer a --id k{n} --change-id c{n}");
+        if n % 20 == 10 {
+            // The call is under way while its leader dies; the tool sends it to the next one.
+            let leader = control.leader();
+            let mut command = control.command(&format!("{issue} --json"));
+            let child = command
+                .stdout(Stdio::piped())
+                .stderr(Stdio::piped())
+                .spawn()
+                .unwrap();
+            std::thread::sleep(Duration::from_millis(n as u64 / 10));
+            control.end(leader, "-KILL");
+            let output = child.wait_with_output().unwrap();
+            // 5: no answer came, so the operator sends the command again.
+            assert!([0, 5].contains(&code(&output)), "{}", errors(&output));
+            control.open(leader);
+        }
+        let answer = control.json(&issue);
+        match answer.get("key").and_then(Value::as_str) {
+            Some(key) => keys.push(key.to_owned()),
+            None => hidden += 1,
+        }
+        assert_eq!(control.json(&issue)["version"], answer["version"], "{issue}");
+    }
+    let listed = control.json("key list");
+    assert_eq!(listed["objects"].as_array().unwrap().len(), CHANGES);
+    keys.sort();
+    keys.dedup();
+    assert_eq!(keys.len() + hidden, CHANGES);
+    assert!(
+        hidden <= 3,
+        "{hidden} keys were issued by a call without an answer"
+    );
+}
+
 #[test]
 fn refusals_have_their_documented_exit_codes() {
-    let control = Process::start();
+    let control = Processes::start(1);
     control.json("customer set --id a --rate 2 --burst 2");
     let lower = "customer set --id a --rate 1 --burst 1 --change-id lower --expect";
     let version = control.json("customer show --id a")["object"]["version"].to_string();
@@ -251,7 +314,7 @@
 
 #[test]
 fn a_wait_shows_its_progress_until_all_vms_hold_the_version() {
-    let control = Process::start();
+    let control = Processes::start(1);
     control.join(1);
     control.join(2);
     let version = control.fetch(1, 0)["version"].as_u64().unwrap() + 1;
@@ -285,7 +348,7 @@
 
 #[test]
 fn people_get_tables() {
-    let control = Process::start();
+    let control = Processes::start(1);
     control.json("customer set --id ministry --rate 200 --burst 400");
     let table = text(&control.ctl("customer list"));
     let lines: Vec<&str> = table.lines().collect();
@@ -300,12 +363,12 @@
 #[test]
 fn signals_stop_the_process_and_settings_are_checked_first() {
     for signal in ["-TERM", "-INT"] {
-        let mut control = Process::start();
-        let (exit, log) = control.end(signal);
+        let mut control = Processes::start(1);
+        let (exit, log) = control.end(0, signal);
         assert_eq!(exit, Some(0), "{log}");
         assert!(log.contains("stopped"), "{log}");
     }
-    let control = Process::start();
+    let control = Processes::start(1);
     let check = |words: &[&str]| Command::new(CONTROL).args(words).output().unwrap();
     let settings = control.settings.to_str().unwrap();
     assert_eq!(code(&check(&["--settings", settings, "--check"])), 0);
