Test the limit bound and the claims in virtual time, tune the wallet

Cause: the bound and at-most-once must hold under lost, repeated and late messages, kills, freezes, restarts, group and registry changes. Found with the tests: a wallet asked for stock after a single request, so tokens expired on VMs with little demand (17 % of requests within the rate refused at 75 % of 4/s on 7 VMs); one request now counts as no rate. A used-up grant of a nearly empty bucket is reported at once. Ruled out: asking the shares in turn on every VM.

--- /dev/null
+++ b/examples/limit_bench.rs
@@ -0,0 +1,228 @@
+//! Grants against two baselines in virtual time: refusals within the rate, excess, messages, bytes.
+//!
+//! `cargo run --release --example limit_bench`. Fixed seeds; the baselines are static shares
+//! (rate / 48 on each VM) and counters that all VMs reconcile every second.
+
+#[path = "../tests/support/limit_world.rs"]
+#[allow(dead_code, reason = "the tests use the faults that the bench does not")]
+mod limit_world;
+
+use std::collections::BTreeMap;
+
+use limit_world::MS;
+use limit_world::Meter;
+use limit_world::Net;
+use limit_world::Pace;
+use limit_world::SECOND;
+use limit_world::World;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use zinnialoom::view::Limit;
+
+const NODES: usize = 48;
+const SEEDS: [u64; 3] = [1, 2, 3];
+const WARM: u64 = 10 * SECOND;
+const TIME: u64 = 30 * SECOND;
+const PACE: Pace = Pace {
+    wallet: 50 * MS,
+    lease: 100 * MS,
+    exchange: 500 * MS,
+    partitions: 64,
+};
+const QUIET: Net = Net {
+    loss: 0.0,
+    repeat: 0.0,
+    late: 0.0,
+};
+const LIMITS: [Limit; 4] = [
+    Limit {
+        rate: 480,
+        burst: 480,
+    },
+    Limit {
+        rate: 480,
+        burst: 120,
+    },
+    Limit { rate: 60, burst: 60 },
+    Limit { rate: 10, burst: 20 },
+];
+const DEMANDS: [u64; 5] = [50, 80, 90, 100, 300];
+
+#[derive(Clone, Copy, strum::Display)]
+enum Spread {
+    Even,
+    One,
+    Moving,
+}
+
+/// Requests as (time, VM), Poisson with the mean rate.
+fn arrivals(seed: u64, spread: Spread, rate: f64) -> Vec<(u64, usize)> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut list = Vec::new();
+    let mut now = WARM;
+    loop {
+        now += (-rng.random_range(1e-9..1.0f64).ln() / rate * SECOND as f64) as u64;
+        if now >= WARM + TIME {
+            return list;
+        }
+        let n = match spread {
+            Spread::Even => rng.random_range(0..NODES),
+            Spread::One => 5,
+            // All callers move to another VM every 3 s.
+            Spread::Moving => ((now / (3 * SECOND)) * 7 % NODES as u64) as usize,
+        };
+        list.push((now, n));
+    }
+}
+
+/// Requests that a single bucket with the whole limit refuses; everything beyond is in-rate.
+fn ideal(limit: Limit, list: &[(u64, usize)]) -> u64 {
+    let mut meter = Meter::new(limit);
+    for (at, _) in list {
+        meter.spend(*at);
+    }
+    meter.excess
+}
+
+struct Row {
+    refused: u64,
+    excess: u64,
+    messages: f64,
+    bytes: f64,
+}
+
+fn grants(seed: u64, limit: Limit, list: &[(u64, usize)], kill: bool) -> Row {
+    let mut world = World::new(seed, NODES, &[limit], PACE, QUIET);
+    world.run_to(WARM);
+    let idle = world.counts;
+    world.sizes = true;
+    let mut killed = !kill;
+    for (at, n) in list {
+        world.run_to(*at);
+        if !killed && *at > WARM + 5 * SECOND {
+            killed = true;
+            let owner = world.owners_of(0).into_iter().find(|o| *o != 5);
+            world.kill(owner.unwrap_or(0), 20 * SECOND);
+        }
+        world.request(*n, 0);
+    }
+    world.run_to(WARM + TIME + SECOND);
+    let per_node = |count: u64| count as f64 / (NODES as f64 * (TIME / SECOND) as f64);
+    Row {
+        refused: world.counts.refused,
+        excess: world.meters[0].excess,
+        messages: per_node(world.counts.messages - idle.messages),
+        bytes: per_node(world.counts.bytes),
+    }
+}
+
+/// A bucket with rate / 48 and burst / 48 on each VM.
+fn static_shares(limit: Limit, list: &[(u64, usize)]) -> Row {
+    let share = f64::from(limit.burst) / NODES as f64;
+    let rate = f64::from(limit.rate) / NODES as f64 / SECOND as f64;
+    // A VM must be able to admit at least one request.
+    let burst = share.max(1.0);
+    let mut buckets = [(burst, 0u64); NODES];
+    let mut meter = Meter::new(limit);
+    let mut refused = 0;
+    for (at, n) in list {
+        let (level, since) = &mut buckets[*n];
+        *level = (*level + rate * (*at - *since) as f64).min(burst);
+        *since = *at;
+        if *level < 1.0 {
+            refused += 1;
+            continue;
+        }
+        *level -= 1.0;
+        meter.spend(*at);
+    }
+    Row {
+        refused,
+        excess: meter.excess,
+        messages: 0.0,
+        bytes: 0.0,
+    }
+}
+
+/// Each VM admits by the fleet's bucket as of the last reconciliation, less what it spent itself.
+fn counters(limit: Limit, list: &[(u64, usize)]) -> Row {
+    let burst = f64::from(limit.burst);
+    let mut level = burst;
+    let mut spent = [0.0f64; NODES];
+    let mut second = WARM;
+    let mut meter = Meter::new(limit);
+    let mut refused = 0;
+    for (at, n) in list {
+        while second + SECOND <= *at {
+            level = (level - spent.iter().sum::<f64>() + f64::from(limit.rate)).min(burst);
+            spent = [0.0; NODES];
+            second += SECOND;
+        }
+        let refilled = f64::from(limit.rate) * (*at - second) as f64 / SECOND as f64;
+        if (level + refilled).min(burst) - spent[*n] < 1.0 {
+            refused += 1;
+            continue;
+        }
+        spent[*n] += 1.0;
+        meter.spend(*at);
+    }
+    // Every VM sends its counter to every other one each second, about 20 bytes for a customer.
+    let messages = (NODES - 1) as f64;
+    Row {
+        refused,
+        excess: meter.excess,
+        messages,
+        bytes: messages * 200.0,
+    }
+}
+
+fn print(name: &str, ideal: u64, asked: u64, rows: &[Row]) {
+    let refused: u64 = rows.iter().map(|r| r.refused).sum();
+    let excess: u64 = rows.iter().map(|r| r.excess).sum();
+    let count = rows.len() as f64;
+    println!(
+        "  {name:<14} refused {refused:>6} ({:>6.2} %)  in-rate {:>6}  excess {excess:>6}  messages/s {:>6.2}  bytes/s {:>7.0}",
+        refused as f64 * 100.0 / asked as f64,
+        refused.saturating_sub(ideal),
+        rows.iter().map(|r| r.messages).sum::<f64>() / count,
+        rows.iter().map(|r| r.bytes).sum::<f64>() / count,
+    );
+}
+
+fn main() {
+    println!(
+        "seeds {SEEDS:?}, {NODES} VMs, {} s each; messages and bytes per VM",
+        TIME / SECOND
+    );
+    for limit in LIMITS {
+        for spread in [Spread::Even, Spread::One, Spread::Moving] {
+            for demand in DEMANDS {
+                let rate = f64::from(limit.rate) * demand as f64 / 100.0;
+                let mut rows: BTreeMap<&str, Vec<Row>> = BTreeMap::new();
+                let (mut best, mut asked) = (0, 0);
+                for seed in SEEDS {
+                    let list = arrivals(seed, spread, rate);
+                    best += ideal(limit, &list);
+                    asked += list.len() as u64;
+                    let all = [
+                        ("grants", grants(seed, limit, &list, false)),
+                        ("owner killed", grants(seed, limit, &list, true)),
+                        ("static shares", static_shares(limit, &list)),
+                        ("counters", counters(limit, &list)),
+                    ];
+                    for (name, row) in all {
+                        rows.entry(name).or_default().push(row);
+                    }
+                }
+                println!(
+                    "rate {} burst {} {spread} {demand} %: {asked} asked, one bucket refuses {best}",
+                    limit.rate, limit.burst
+                );
+                for (name, rows) in &rows {
+                    print(name, best, asked, rows);
+                }
+            }
+        }
+    }
+}
--- a/src/claim/copy.rs
+++ b/src/claim/copy.rs
@@ -34,6 +34,8 @@
 pub struct CopyAsk {
     /// VM that asks.
     pub vm: VmName,
+    /// Run of that VM: a page that an earlier run asked for is too old.
+    pub incarnation: Incarnation,
     /// Registry that it knows.
     pub registry: u64,
     /// Where the page before ended.
@@ -262,6 +264,7 @@
             running += 1;
             let ask = CopyAsk {
                 vm: self.me.clone(),
+                incarnation: self.incarnation,
                 registry: self.registry.id(),
                 after: progress.after.clone(),
             };
@@ -279,7 +282,10 @@
         let Some(progress) = self.progress.get_mut(from) else {
             return false;
         };
-        if ask.registry != self.registry.id() || page.registry != ask.registry || ask.after != progress.after
+        if ask.incarnation != self.incarnation
+            || ask.registry != self.registry.id()
+            || page.registry != ask.registry
+            || ask.after != progress.after
         {
             return false;
         }
--- a/src/grant/wallet.rs
+++ b/src/grant/wallet.rs
@@ -24,6 +24,9 @@
 /// Part of the time in which the burst refills that one stock may cover: tokens on wallets count
 /// against the burst, and a bucket without room does not refill.
 const STOCK_DIVISOR: f64 = 4.0;
+/// A VM has much of a customer's load if it sees more than 1/8 of the rate: then the other VMs
+/// together may not reach all shares.
+const MUCH_LOAD: f64 = 8.0;
 /// Memory of the demand estimate.
 const DEMAND_TIME: f64 = 0.5;
 /// An ask without an answer for this long does not keep a waiting request from the other shares.
@@ -160,8 +163,9 @@
     fn stock(&self) -> u32 {
         let refill = f64::from(self.limit.burst) / f64::from(self.limit.rate.max(1));
         let time = STOCK.as_secs_f64().min(refill / STOCK_DIVISOR);
-        // Rounded down: a VM with little demand asks when a request comes.
-        (self.demand * time) as u32
+        // One request is no rate yet, and the rest is rounded down: a VM with little demand asks when
+        // a request comes, because a token in stock would mostly expire.
+        ((self.demand - 1.0 / DEMAND_TIME).max(0.0) * time) as u32
     }
 
     /// Requests that may wait: as many as the whole rate serves in the longest wait of 250 ms.
@@ -250,6 +254,20 @@
         reports
     }
 
+    /// Where to ask next: the share that granted tokens, whose reports then need no extra message.
+    ///
+    /// A VM with much of the customer's load goes on to the next share instead, because a share that
+    /// nobody asks fills up and loses its refill.
+    fn prefer(&mut self, share: u8) {
+        let much = self.demand * MUCH_LOAD > f64::from(self.limit.rate);
+        self.preferred = (share + u8::from(much)) % share_count(self.limit);
+    }
+
+    fn is_used_up(&self, share: u8) -> bool {
+        let mut held = self.held.iter().filter(|h| h.share == share && h.report);
+        held.any(|h| h.left() == 0)
+    }
+
     fn wants_report(&self, share: u8) -> bool {
         let mut held = self.held.iter().filter(|h| h.share == share && h.report);
         held.any(|h| h.spent > h.reported)
@@ -339,7 +357,7 @@
         if grant.tokens == 0 || account.is_outdated(grant.limit, grant.version) {
             return Vec::new();
         }
-        account.preferred = grant.share % share_count(account.limit);
+        account.prefer(grant.share);
         account.held.push(Held {
             share: grant.share,
             number: grant.number,
@@ -354,7 +372,7 @@
         account.serve(now)
     }
 
-    /// The asks that are due for one customer, after a request or an answer.
+    /// The asks and reports that are due for one customer, after a request or an answer.
     pub fn poll(&mut self, now: Instant, customer: &CustomerId) -> Vec<Ask> {
         let mut asks = Vec::new();
         let Some(account) = self.accounts.get_mut(customer) else {
@@ -380,6 +398,23 @@
                 reports,
             ));
         }
+        // A used-up grant of a nearly empty bucket is reported at once: until then its tokens keep
+        // the bucket from refilling.
+        for share in 0..SHARES {
+            if account.is_used_up(share) {
+                self.numbers += 1;
+                let (number, reports) = (self.numbers, account.reports(share));
+                asks.push(ask(
+                    &self.me,
+                    self.incarnation,
+                    number,
+                    customer,
+                    share,
+                    0,
+                    reports,
+                ));
+            }
+        }
         asks
     }
 
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -20,6 +20,8 @@
 pub const LEASE: Duration = Duration::from_secs(4);
 /// Time between renewals; three may be lost before the lease ends.
 pub const RENEWAL: Duration = Duration::from_secs(1);
+/// Time between requests while a wanted partition is not held: its share is paused until then.
+pub const RETRY: Duration = Duration::from_millis(250);
 /// Partitions at the size of 48 VMs; 4,096 at full size.
 pub const PARTITIONS: u32 = 64;
 /// Largest difference of a clock from real time.
@@ -254,7 +256,8 @@
         if self.due.is_some_and(|due| due > now) || self.wanted.is_empty() {
             return Vec::new();
         }
-        self.due = Some(now + RENEWAL);
+        let all = self.wanted.iter().all(|p| self.leases.contains_key(p));
+        self.due = Some(now + if all { RENEWAL } else { RETRY });
         self.number += 1;
         self.sent.insert(self.number, now);
         let request = LeaseRequest {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -234,11 +234,11 @@
         for (owner, asks) in inner.by_owner(asks) {
             if owner == inner.me {
                 let grants = inner.answer(&asks);
-                inner.receive(&grants);
+                Self::receive(inner, &grants);
                 continue;
             }
             let inner = Arc::clone(inner);
-            task::spawn(async move { inner.ask(&owner, asks).await });
+            task::spawn(async move { Self::ask(&inner, &owner, asks).await });
         }
     }
 
@@ -254,19 +254,26 @@
         groups
     }
 
-    async fn ask(&self, owner: &VmName, asks: Vec<Ask>) {
-        let view = self.config.view();
+    async fn ask(inner: &Arc<Self>, owner: &VmName, asks: Vec<Ask>) {
+        let view = inner.config.view();
         let params = Asks { asks };
-        let call = self.peers.call(&view, owner, "grant.ask", &params, CALL_LIMIT);
+        let call = inner.peers.call(&view, owner, "grant.ask", &params, CALL_LIMIT);
         // An ask without an answer is given up by the wallet's tick, which also tries other shares.
         let grants: Vec<Grant> = call.await.unwrap_or_default();
         fail_point!("grant.receive", |_| ());
-        self.receive(&grants);
+        Self::receive(inner, &grants);
+    }
+
+    fn receive(inner: &Arc<Self>, grants: &[Grant]) {
+        let asks = inner.serve(grants);
+        Self::send(inner, asks);
     }
 
-    fn receive(&self, grants: &[Grant]) {
+    /// Gives the granted tokens to waiting requests and returns the asks that are due then.
+    fn serve(&self, grants: &[Grant]) -> Vec<Ask> {
         let now = Instant::now();
         let mut spending = self.spending.lock().unwrap();
+        let mut asks = Vec::new();
         for grant in grants {
             for ticket in spending.wallet.receive(now, grant) {
                 if let Some(waiter) = spending.waiters.remove(&ticket) {
@@ -274,7 +281,9 @@
                     let _ = waiter.send(());
                 }
             }
+            asks.extend(spending.wallet.poll(now, &grant.customer));
         }
+        asks
     }
 
     fn answer(&self, asks: &[Ask]) -> Vec<Grant> {
