--- a/examples/scenario/fleet.rs
+++ b/examples/scenario/fleet.rs
@@ -167,7 +167,7 @@
     ) -> Result<(), String> {
         let entries: Vec<String> = self
             .with_role(Role::Entry)
-            .map(|(_, p)| p.peer.to_string())
+            .flat_map(|(_, p)| ["--entry".into(), p.peer.to_string()])
             .collect();
         for n in 1..=count {
             let name = format!("{service}-{n}");
@@ -321,6 +321,33 @@
         Ok(String::from_utf8_lossy(&output.stdout).into_owned())
     }
 
+    /// Runs the load tool against an entry VM and a stand-in, and prints what it prints.
+    pub(crate) fn bench(&self, entry: &str, upstream: &str, words: &[String]) -> Result<(), String> {
+        let find = |name: &str| {
+            self.processes
+                .get(name)
+                .ok_or_else(|| format!("no process is named {name}"))
+        };
+        let (entry, upstream) = (find(entry)?, find(upstream)?);
+        let mut command = Command::new(self.programs.join("examples/bench"));
+        command.args([
+            "--target",
+            &entry.address.to_string(),
+            "--direct",
+            &upstream.address.to_string(),
+        ]);
+        for process in [entry, upstream] {
+            let pid = process.child.as_ref().map_or(0, Child::id);
+            command.args(["--pid", &pid.to_string()]);
+        }
+        let status = command.args(words).status().map_err(|e| format!("bench: {e}"))?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(format!("bench ended with {status}"))
+        }
+    }
+
     /// Ends every process that still runs.
     pub(crate) fn end(&mut self) {
         for process in self.processes.values_mut() {
--- a/examples/scenario/main.rs
+++ b/examples/scenario/main.rs
@@ -150,6 +150,7 @@
             ["upstream", name] => self.set_upstream(name, options).await,
             ["withdraw", name] => self.withdraw(name),
             ["operator", words @ ..] => self.fleet.operate(words).map(drop),
+            ["bench", entry, upstream] => self.bench(entry, upstream, options),
             ["expect", name] => self.expect(name, options).await,
             _ => Err("unknown statement".into()),
         }
@@ -186,12 +187,13 @@
         let floor = options.text("floor", "0").to_owned();
         let secret = self.fleet.folder.join("join.secret").display().to_string();
         self.fleet.operate(&[
-            "service-set",
+            "service",
+            "set",
             "--id",
             name,
             "--floor",
             &floor,
-            "--join-secret-file",
+            "--join-secret",
             &secret,
         ])?;
         let count = options.number("upstreams", 2)?;
@@ -336,6 +338,18 @@
         Ok(())
     }
 
+    /// Measures the latency that an entry VM adds, against calling the stand-in directly.
+    fn bench(&mut self, entry: &str, upstream: &str, options: &Options) -> Result<(), String> {
+        let key = self
+            .key(options.text("customer", ""))
+            .ok_or("bench needs a customer")?;
+        let mut words = vec!["--key".to_owned(), key];
+        for (name, value) in options.iter().filter(|(n, _)| *n != "customer") {
+            words.extend([format!("--{name}"), value.to_owned()]);
+        }
+        self.fleet.bench(entry, upstream, &words)
+    }
+
     fn withdraw(&mut self, customer: &str) -> Result<(), String> {
         let key = self
             .key(customer)
@@ -343,10 +357,7 @@
         let id = key.split('.').nth(1).unwrap_or_default().to_owned();
         let list = self.fleet.operate(&["key", "list", "--customer", customer])?;
         let list: serde_json::Value = serde_json::from_str(&list).map_err(|e| e.to_string())?;
-        let items = list["items"]
-            .as_array()
-            .or_else(|| list["keys"].as_array())
-            .or_else(|| list.as_array());
+        let items = list["objects"].as_array();
         let found = items.into_iter().flatten().find(|k| k["id"] == id.as_str());
         let version = found
             .and_then(|k| k["version"].as_u64())
