Choose upstreams for waiting requests under the queue's lock

Cause: on a machine at load 20, 9 requests of one customer were served before the first of another, and the queue held 65 requests instead of 64. A woken request chose for itself; while it was on its way it was neither counted nor at its place in the order, and every 25 ms many were on their way at once.

Ruled out: a fault of the tests alone. The stand-in freed its slot after it wrote the answer, so that it could count two running requests on one connection after the other; it frees it before.

--- a/examples/standin/server.rs
+++ b/examples/standin/server.rs
@@ -243,12 +243,17 @@
     state.most.fetch_max(running, Ordering::SeqCst);
     let slot = state.free.recv().await;
     record(state, &asked);
-    let result = run(stream, state, &faults, &asked).await;
+    let answer = run(stream, state, &faults, &asked).await;
+    // The slot is free before the other side can see the answer.
+    state.running.fetch_sub(1, Ordering::SeqCst);
     if slot.is_ok() {
         let _ = state.slots.try_send(());
     }
-    state.running.fetch_sub(1, Ordering::SeqCst);
-    result
+    let Some(bytes) = answer else {
+        return Ok(false);
+    };
+    stream.write_all(&bytes).await?;
+    Ok(!faults.cut)
 }
 
 fn record(state: &State, asked: &Asked) {
@@ -271,15 +276,16 @@
     state.journal.lock().unwrap().push(entry);
 }
 
-async fn run(stream: &mut TcpStream, state: &State, faults: &Faults, asked: &Asked) -> io::Result<bool> {
+/// The bytes of the answer, or `None` if there is none.
+async fn run(stream: &mut TcpStream, state: &State, faults: &Faults, asked: &Asked) -> Option<Vec<u8>> {
     let path = asked.path.split('?').next().unwrap_or_default();
     if faults.crash.as_deref() == Some(path) {
-        return Ok(false);
+        return None;
     }
     if faults.stall {
         // Until the other side gives up.
         let _ = stream.read(&mut [0]).await;
-        return Ok(false);
+        return None;
     }
     let factor = if faults.slow > 0.0 { faults.slow } else { 1.0 };
     let latency = state.behaviour.latency.mul_f64(factor);
@@ -320,8 +326,7 @@
     if faults.cut {
         bytes.truncate(head + body.len() / 2);
     }
-    stream.write_all(&bytes).await?;
-    Ok(!faults.cut)
+    Some(bytes)
 }
 
 /// `bytes=N` in the query asks for a long body; otherwise the body repeats the request.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -153,7 +153,7 @@
     parts: Parts<S>,
     settings: ProxySettings,
     pool: Pool,
-    queue: Queue,
+    queue: Queue<S>,
     meter: Meter,
     /// Requests and answers that run in tasks of their own.
     tasks: AtomicUsize,
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -18,6 +18,7 @@
 use crate::frame::Buffered;
 use crate::frame::Frame;
 use crate::frame::Framing;
+use crate::id::UpstreamId;
 use crate::pool::Connection;
 use crate::pool::Unsent;
 use crate::stage::Attempt;
@@ -80,6 +81,11 @@
         }
     }
 
+    /// Name of the upstream.
+    pub(crate) fn upstream(&self) -> Option<UpstreamId> {
+        self.pick.as_ref().map(|pick| pick.upstream.clone())
+    }
+
     /// Gives the upstream back with what was learned about it.
     pub(crate) fn end(mut self, attempt: Attempt) {
         self.give_back(attempt);
@@ -96,7 +102,7 @@
             load: self.load,
         };
         self.shared.parts.chooser.finish(pick, sample);
-        self.shared.queue.wake(&service);
+        self.shared.wake(&service);
     }
 }
 
--- a/src/proxy/queue.rs
+++ b/src/proxy/queue.rs
@@ -1,10 +1,13 @@
 //! Requests that wait because all upstreams of their service are at their cap.
 //!
 //! Each customer has its own line and the lines take turns, so that a customer with many requests
-//! does not delay the others.
+//! does not delay the others. Whoever frees capacity chooses an upstream for the request whose turn
+//! it is, under the lock of the queue; a request that wakes up and chooses for itself could be
+//! overtaken between the two.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,125 +22,190 @@
 use crate::error::Result;
 use crate::id::CustomerId;
 use crate::id::ServiceId;
+use crate::id::UpstreamId;
 use crate::stage::ChooseAsk;
 use crate::stage::Chooser;
-use crate::stage::Pick;
+
+use super::Shared;
+use super::Stages;
+use super::attempt::InFlight;
+use super::job::Job;
 
 /// Waiting requests of one customer for one service at most.
 pub(crate) const WAITING: usize = 64;
 /// Capacity also appears without a request of this VM ending (a new upstream, a larger cap), so
-/// waiting requests try again at this interval.
+/// the queue is looked at again at this interval while a request waits.
 const RETRY_PERIOD: Duration = Duration::from_millis(25);
 
-#[derive(Default)]
-struct Lines {
+type Turn<S> = Result<InFlight<S>>;
+
+struct Waiter<S: Stages> {
+    job: Arc<Job>,
+    tried: Vec<UpstreamId>,
+    sender: Sender<Turn<S>>,
+}
+
+struct Lines<S: Stages> {
     /// Customers with waiting requests, the next in turn first.
     order: VecDeque<CustomerId>,
-    lines: HashMap<CustomerId, VecDeque<Sender<()>>>,
+    lines: HashMap<CustomerId, VecDeque<Waiter<S>>>,
+    looked: Instant,
 }
 
 /// The waiting requests of all services.
-#[derive(Default)]
-pub(crate) struct Queue {
-    services: Mutex<HashMap<ServiceId, Lines>>,
+pub(crate) struct Queue<S: Stages> {
+    services: Mutex<HashMap<ServiceId, Lines<S>>>,
 }
 
-impl Queue {
-    /// An upstream for the request, if need be after waiting for its turn.
-    pub(crate) async fn choose<C: Chooser>(
-        &self,
-        chooser: &C,
-        ask: &ChooseAsk<'_>,
-        deadline: Instant,
-    ) -> Result<Pick> {
-        let customer = ask.customer.cloned().unwrap_or_default();
-        let mut first = false;
-        if !self.has_waiting(ask.service) {
-            match chooser.choose(ask) {
-                Err(e) if e.code == Code::Overloaded => {}
-                other => return other,
-            }
-        }
-        loop {
-            let turn = self.join(ask.service, &customer, first)?;
-            self.wait(ask.service, &turn, deadline).await?;
-            match chooser.choose(ask) {
-                // It was its turn, so it goes back to the front.
-                Err(e) if e.code == Code::Overloaded => first = true,
-                other => return other,
-            }
+impl<S: Stages> Default for Queue<S> {
+    fn default() -> Self {
+        Self {
+            services: Mutex::default(),
         }
     }
+}
 
-    fn has_waiting(&self, service: &ServiceId) -> bool {
-        self.services.lock().unwrap().contains_key(service)
-    }
-
-    async fn wait(&self, service: &ServiceId, turn: &Receiver<()>, deadline: Instant) -> Result<()> {
+impl<S: Stages> Shared<S> {
+    /// An upstream for the request, if need be after waiting for its turn.
+    pub(crate) async fn choose(
+        self: &Arc<Self>,
+        job: &Arc<Job>,
+        tried: &[UpstreamId],
+    ) -> Result<InFlight<S>> {
+        let turn = match self.choose_or_join(job, tried)? {
+            Ok(flight) => return Ok(flight),
+            Err(turn) => turn,
+        };
         loop {
-            let left = deadline.saturating_duration_since(Instant::now());
+            let left = job.left();
             if left.is_zero() {
                 let detail = "all upstreams of the service were at their cap until the deadline";
                 return Err(Error::new(Code::DeadlineBefore, detail));
             }
-            if future::timeout(left.min(RETRY_PERIOD), turn.recv()).await.is_ok() {
-                return Ok(());
+            match future::timeout(left.min(RETRY_PERIOD), turn.recv()).await {
+                Ok(Ok(turn)) => return turn,
+                Ok(Err(_)) => return Err(Code::Overloaded.into()),
+                Err(_) => self.look(&job.route.service),
             }
-            self.wake(service);
         }
     }
 
-    fn join(&self, service: &ServiceId, customer: &CustomerId, first: bool) -> Result<Receiver<()>> {
-        let mut services = self.services.lock().unwrap();
-        let lines = services.entry(service.clone()).or_default();
+    fn choose_or_join(
+        self: &Arc<Self>,
+        job: &Arc<Job>,
+        tried: &[UpstreamId],
+    ) -> Result<std::result::Result<InFlight<S>, Receiver<Turn<S>>>> {
+        let mut services = self.queue.services.lock().unwrap();
+        if !services.contains_key(&job.route.service) {
+            match choose(self, job, tried) {
+                Err(e) if e.code == Code::Overloaded => {}
+                turn => return turn.map(Ok),
+            }
+        }
+        let customer = job.customer.clone().unwrap_or_default();
+        let lines = services
+            .entry(job.route.service.clone())
+            .or_insert_with(|| Lines {
+                order: VecDeque::new(),
+                lines: HashMap::new(),
+                looked: Instant::now(),
+            });
         let line = lines.lines.entry(customer.clone()).or_default();
-        line.retain(|waiting| !waiting.is_closed());
-        if line.len() >= WAITING && !first {
+        line.retain(|waiter| !waiter.sender.is_closed());
+        if line.len() >= WAITING {
             let detail = format!("{WAITING} requests of the customer wait already");
             return Err(Error::new(Code::Overloaded, detail));
         }
         let (sender, receiver) = channel::bounded(1);
-        match first {
-            true => line.push_front(sender),
-            false => line.push_back(sender),
-        }
-        if lines.order.contains(customer) {
-            lines.order.retain(|c| !first || c != customer);
+        line.push_back(Waiter {
+            job: Arc::clone(job),
+            tried: tried.to_vec(),
+            sender,
+        });
+        if !lines.order.contains(&customer) {
+            lines.order.push_back(customer);
         }
-        match (first, lines.order.contains(customer)) {
-            (true, _) => lines.order.push_front(customer.clone()),
-            (false, false) => lines.order.push_back(customer.clone()),
-            (false, true) => {}
+        Ok(Err(receiver))
+    }
+
+    /// Looks for capacity that appeared by itself.
+    fn look(self: &Arc<Self>, service: &ServiceId) {
+        let now = Instant::now();
+        {
+            let mut services = self.queue.services.lock().unwrap();
+            let Some(lines) = services.get_mut(service) else {
+                return;
+            };
+            // All waiting requests come here; one look in each period is enough.
+            if now.duration_since(lines.looked) < RETRY_PERIOD / 2 {
+                return;
+            }
+            lines.looked = now;
         }
-        Ok(receiver)
+        self.wake(service);
     }
 
-    /// Gives the next customer its turn; called when a request of the service has ended.
-    pub(crate) fn wake(&self, service: &ServiceId) {
-        let mut services = self.services.lock().unwrap();
+    /// Gives upstreams to the requests whose turn it is; called when a request has ended.
+    pub(crate) fn wake(self: &Arc<Self>, service: &ServiceId) {
+        let mut services = self.queue.services.lock().unwrap();
         let Some(lines) = services.get_mut(service) else {
             return;
         };
-        while let Some(customer) = lines.order.pop_front() {
-            let line = lines.lines.entry(customer.clone()).or_default();
-            let woken = loop {
-                match line.pop_front() {
-                    Some(next) if next.try_send(()).is_ok() => break true,
-                    Some(_) => continue,
-                    None => break false,
-                }
+        let mut done = Vec::new();
+        while let Some(waiter) = lines.front() {
+            let turn = match choose(self, &waiter.job, &waiter.tried) {
+                Err(e) if e.code == Code::Overloaded => break,
+                turn => turn,
             };
-            if line.is_empty() {
-                lines.lines.remove(&customer);
-            } else {
-                lines.order.push_back(customer);
-            }
-            if woken {
-                break;
-            }
+            let sent = waiter.sender.try_send(turn);
+            done.push((sent.err(), lines.pop()));
         }
         if lines.order.is_empty() {
             services.remove(service);
         }
+        drop(services);
+        // Upstreams of requests that wait no longer are given back here, which calls `wake` again.
+        drop(done);
     }
 }
+
+impl<S: Stages> Lines<S> {
+    /// The request whose turn it is; requests that wait no longer are removed.
+    fn front(&mut self) -> Option<&Waiter<S>> {
+        loop {
+            let customer = self.order.front()?;
+            let line = self.lines.get_mut(customer)?;
+            line.retain(|waiter| !waiter.sender.is_closed());
+            if !line.is_empty() {
+                break;
+            }
+            self.lines.remove(customer);
+            self.order.pop_front();
+        }
+        self.lines.get(self.order.front()?)?.front()
+    }
+
+    /// Removes the request whose turn it was and gives the turn to the next customer.
+    fn pop(&mut self) -> Option<Waiter<S>> {
+        let customer = self.order.pop_front()?;
+        let line = self.lines.get_mut(&customer)?;
+        let waiter = line.pop_front();
+        match line.is_empty() {
+            true => drop(self.lines.remove(&customer)),
+            false => self.order.push_back(customer),
+        }
+        waiter
+    }
+}
+
+fn choose<S: Stages>(shared: &Arc<Shared<S>>, job: &Arc<Job>, tried: &[UpstreamId]) -> Turn<S> {
+    let ask = ChooseAsk {
+        service: &job.route.service,
+        route: &job.route.id,
+        customer: job.customer.as_ref(),
+        avoid: tried,
+        idempotent: job.idempotent,
+    };
+    let pick = shared.parts.chooser.choose(&ask)?;
+    Ok(InFlight::new(shared, job, pick))
+}
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -18,7 +18,6 @@
 use crate::error::Result;
 use crate::id::UpstreamId;
 use crate::stage::Attempt;
-use crate::stage::ChooseAsk;
 use crate::stage::Chooser;
 use crate::stage::Claims;
 use crate::stage::Ending;
@@ -141,22 +140,11 @@
         ticket: &mut Option<Ticket<S>>,
         progress: &mut Progress,
     ) -> Result<Option<Done>> {
-        let ask = ChooseAsk {
-            service: &job.route.service,
-            route: &job.route.id,
-            customer: job.customer.as_ref(),
-            avoid: &progress.tried,
-            idempotent: job.idempotent,
-        };
-        let pick = self
-            .queue
-            .choose(&*self.parts.chooser, &ask, job.deadline)
-            .await?;
-        let name = pick.upstream.clone();
-        let mut flight = InFlight::new(self, job, pick);
+        let mut flight = self.choose(job, &progress.tried).await?;
+        let name = flight.upstream();
         fail::fail_point!("proxy-chosen");
         let outcome = attempt::attempt(&mut flight, &|| self.check_send(job, ticket.as_ref())).await?;
-        progress.tried.push(name);
+        progress.tried.extend(name);
         match outcome {
             Outcome::NotSent(attempt, detail) => {
                 flight.end(attempt);
--- a/tests/path/heads.rs
+++ b/tests/path/heads.rs
@@ -215,6 +215,21 @@
     assert!(standin.journal().is_empty());
 }
 
+/// Guards against a reset that makes a caller lose the answer while it still sends its body.
+#[async_std::test]
+async fn a_refusal_reaches_a_caller_that_still_sends() {
+    let entry = Entry::start(&[]).await;
+    let mut stream = TcpStream::connect(entry.running.address()).await.unwrap();
+    let head = post("content-length: 2000000\r\n", "");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..20 {
+        stream.write_all(&[b'x'; 10_000]).await.unwrap();
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    let answer = read_all(&mut stream).await;
+    assert_eq!(status(&answer), 413, "{answer}");
+}
+
 /// Guards against callers that wait for `100 Continue` until they give up.
 #[async_std::test]
 async fn continue_is_sent() {
--- a/tests/path/stop.rs
+++ b/tests/path/stop.rs
@@ -50,7 +50,12 @@
         let open = entry.running.stop(Duration::from_secs(5)).await;
         (open, entry)
     });
+    let start = Instant::now();
     assert_eq!(read_all(&mut idle).await, "", "idle connections are closed");
+    assert!(
+        start.elapsed() < Duration::from_secs(2),
+        "an idle connection delays the stop"
+    );
     for stream in &mut busy {
         let answer = read_all(stream).await;
         assert_eq!(status(&answer), 200, "{answer}");
