Judge evidence when it changes; confirm ejections by all other failure domains together

The second candidate of a selection now comes from another failure domain, and the other domains count together.

--- a/examples/detect_bench/policy.rs
+++ b/examples/detect_bench/policy.rs
@@ -91,6 +91,16 @@
         }
     }
 
+    /// Whether the VM holds permits of an arbiter.
+    pub fn has_permits(&self) -> bool {
+        matches!(self, Self::Fleet(balancer) if !balancer.held.is_empty())
+    }
+
+    /// Whether the VM keeps an upstream ejected by a permit.
+    pub fn is_ejected(&self, upstream: &str, now: Instant) -> bool {
+        matches!(self, Self::Fleet(balancer) if balancer.is_ejected(&upstream.into(), now))
+    }
+
     /// Whether one more attempt may be made.
     pub fn take_retry(&mut self) -> bool {
         match self {
--- a/examples/detect_bench/world.rs
+++ b/examples/detect_bench/world.rs
@@ -498,8 +498,10 @@
             if self.vm_has(vm, VmFault::Killed) || self.vm_has(vm, VmFault::Frozen) {
                 continue;
             }
-            for announcement in &self.announcements {
-                self.policies[vm].update(announcement, now);
+            if self.now % SECOND == 0 {
+                for announcement in &self.announcements {
+                    self.policies[vm].update(announcement, now);
+                }
             }
             self.policies[vm].tick(now);
             self.note_plain(vm);
@@ -627,12 +629,8 @@
     }
 
     fn check_floor(&mut self, now: Instant) {
-        let is_used = |a: &&Announcement| {
-            !self.policies.iter().any(|p| match p {
-                Policy::Fleet(balancer) => balancer.is_ejected(&a.upstream, now),
-                Policy::Plain(_) => false,
-            })
-        };
+        let ejecting: Vec<&Policy> = self.policies.iter().filter(|p| p.has_permits()).collect();
+        let is_used = |a: &&Announcement| !ejecting.iter().any(|p| p.is_ejected(&a.upstream, now));
         let slots = self.announcements.iter().filter(is_used).map(|a| a.slots).sum();
         self.report.least_slots = self.report.least_slots.min(slots);
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,6 +1,7 @@
 //! Core: selection of an upstream for each request of one service (section 5.4 of the design).
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,6 +30,8 @@
 pub const SMALL_SHARE: f64 = 0.05;
 /// The share of a healthy upstream doubles in this time until it is whole.
 pub const RAMP_STEP: Duration = Duration::from_secs(2);
+/// Evidence is judged when it changes, and this often because it ages.
+const JUDGE_EACH: Duration = Duration::from_secs(1);
 /// Part of requests that may be tried again.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_MOST: f64 = 10.0;
@@ -90,6 +93,8 @@
     pub detector: Detector,
     /// Ejections that this VM keeps.
     pub held: Held,
+    suspects: BTreeSet<UpstreamId>,
+    judged: Option<Instant>,
     retries: f64,
     random: SmallRng,
 }
@@ -103,6 +108,8 @@
             entries: BTreeMap::new(),
             detector: Detector::default(),
             held: Held::default(),
+            suspects: BTreeSet::new(),
+            judged: None,
             retries: RETRY_FIRST,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -134,24 +141,27 @@
     pub fn tick(&mut self, now: Instant) -> Vec<(UpstreamId, Turn)> {
         let mut turns = Vec::new();
         self.count_overdue(now);
-        let names: Vec<UpstreamId> = self.entries.keys().cloned().collect();
-        for name in names {
-            let is_suspect = self.detector.is_suspect(now, &name);
-            let is_ejected = self.held.is_ejected(&name, now);
-            if let Some(entry) = self.entries.get_mut(&name) {
-                if is_ejected && !entry.ejected {
-                    self.detector.clear(&name);
-                }
-                let turn = entry.tick(now, is_suspect, is_ejected);
-                turns.extend(turn.map(|t| (name, t)));
+        let is_old = self
+            .judged
+            .is_none_or(|j| now.saturating_duration_since(j) >= JUDGE_EACH);
+        if self.detector.take_changed() || is_old {
+            self.suspects = self.detector.suspects(now);
+            self.judged = Some(now);
+        }
+        for (name, entry) in &mut self.entries {
+            let is_ejected = self.held.is_ejected(name, now);
+            if is_ejected && !entry.ejected {
+                self.detector.clear(name);
             }
+            let turn = entry.tick(now, self.suspects.contains(name), is_ejected);
+            turns.extend(turn.map(|t| (name.clone(), t)));
         }
         let is_kept = |e: &Entry| !e.running.is_empty() || e.is_heard(now) || e.ejected;
         self.entries.retain(|_, e| is_kept(e));
         turns
     }
 
-    /// Selects an upstream: the less loaded of one in the own failure domain and one anywhere.
+    /// Selects an upstream: the less loaded of one in the own failure domain and one of the others.
     ///
     /// # Errors
     /// `NoUpstream` if the service has none, `Overloaded` if all are at their cap.
@@ -176,13 +186,10 @@
                 format!("service {}: all upstreams are at their cap", ask.service),
             ));
         }
-        let near: Vec<&(UpstreamId, f64)> = free
-            .iter()
-            .copied()
-            .filter(|(name, _)| self.entries[name].announcement.domain == self.domain)
-            .collect();
+        let is_near = |name: &UpstreamId| self.entries[name].announcement.domain == self.domain;
+        let (near, far): (Vec<_>, Vec<_>) = free.iter().copied().partition(|(name, _)| is_near(name));
         let first = draw(if near.is_empty() { &free } else { &near }, &mut self.random);
-        let second = draw(&free, &mut self.random);
+        let second = draw(if far.is_empty() { &free } else { &far }, &mut self.random);
         let (a, b) = (self.pressure(&first, now), self.pressure(&second, now));
         // Equal loads are decided at random, so that each upstream is also used from other failure
         // domains: an ejection needs observers in two of them.
--- a/src/detect.rs
+++ b/src/detect.rs
@@ -5,6 +5,7 @@
 //! has the largest score, less the share of failures that its route and customer always have.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -36,8 +37,11 @@
 /// A request that runs four times as long as usual, but not less than this, is evidence before it ends.
 const OVERDUE_LEAST: Duration = Duration::from_millis(50);
 const OVERDUE_RATIO: f64 = 4.0;
+/// Samples, failures in a row and weight of evidence that make one VM shift its traffic. A wrong
+/// shift costs little, so these are low.
 const OWN_COUNT: f64 = 3.0;
 const OWN_ERRORS: f64 = 3.0;
+const OWN_EVIDENCE: f64 = 2.0;
 const SPREAD_LEAST: f64 = 0.3;
 
 /// Sum of scores.
@@ -174,6 +178,7 @@
     unsent: BTreeMap<UpstreamId, Tally>,
     errors: HashMap<UpstreamId, f64>,
     urgent: bool,
+    changed: bool,
 }
 
 impl Detector {
@@ -194,6 +199,7 @@
             // A connection that dies in mid-request may be the fault of the request (section 5.3).
             Attempt::Shed | Attempt::Died | Attempt::Cancelled => return,
         };
+        self.changed = true;
         let score = self.score(sample, failed);
         self.learn(sample, failed, held);
         self.count_errors(upstream, failed);
@@ -225,29 +231,32 @@
         Some(Duration::from_secs_f64(most.exp()))
     }
 
-    /// Whether the VM's own evidence speaks against an upstream.
-    pub fn is_suspect(&self, now: Instant, upstream: &UpstreamId) -> bool {
-        if self.errors.get(upstream).is_some_and(|e| *e >= OWN_ERRORS) {
-            return true;
-        }
-        let own = self
-            .cells
-            .get(upstream)
-            .map(|c| c.sum(now, WINDOW))
-            .unwrap_or_default();
-        if own.count < OWN_COUNT {
-            return false;
-        }
-        let others: Vec<f64> = self
+    /// Upstreams against which the VM's own evidence speaks.
+    pub fn suspects(&self, now: Instant) -> BTreeSet<UpstreamId> {
+        let mut found: BTreeSet<UpstreamId> = self
+            .errors
+            .iter()
+            .filter(|(_, count)| **count >= OWN_ERRORS)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let sums: Vec<(&UpstreamId, Tally)> = self
             .cells
             .iter()
-            .filter(|(name, _)| *name != upstream)
-            .map(|(_, c)| c.sum(now, WINDOW))
-            .filter(|t| t.count > 0.0)
-            .map(|t| t.mean())
+            .map(|(name, cells)| (name, cells.sum(now, WINDOW)))
+            .filter(|(_, t)| t.count > 0.0)
             .collect();
-        let center = middle(others).unwrap_or(0.0);
-        own.mean() - center > GAP && own.count.sqrt() * (own.mean() - center) > 2.0
+        for (name, own) in &sums {
+            if own.count < OWN_COUNT || own.mean() < GAP - TOP_SCORE {
+                continue;
+            }
+            let others = sums.iter().filter(|(other, _)| other != name);
+            let center = middle(others.map(|(_, t)| t.mean()).collect()).unwrap_or(0.0);
+            let gap = own.mean() - center;
+            if gap > GAP && own.count.sqrt() * gap > OWN_EVIDENCE {
+                found.insert((*name).clone());
+            }
+        }
+        found
     }
 
     /// Forgets the evidence about an upstream, so that old evidence does not eject it twice.
@@ -257,6 +266,11 @@
         self.errors.remove(upstream);
     }
 
+    /// Whether there was new evidence since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Whether there is evidence that should reach the arbiter at once.
     pub fn is_urgent(&self) -> bool {
         self.urgent
@@ -318,6 +332,7 @@
         self.cells.entry(upstream.clone()).or_default().add(now, &tally);
         self.unsent.entry(upstream.clone()).or_default().merge(&tally);
         self.urgent = self.urgent || score > HIGH_SCORE;
+        self.changed = true;
     }
 }
 
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -21,6 +21,8 @@
 pub const PERMIT: Duration = Duration::from_secs(30);
 /// A new arbiter waits until all permits of an earlier one have ended, with 2 % for clock drift.
 pub const NEW_ARBITER: Duration = Duration::from_millis(30_600);
+/// Time between two evaluations of the evidence.
+const EVALUATION: Duration = Duration::from_millis(200);
 /// First hold-off of an ejected upstream.
 const HOLD_FIRST: Duration = Duration::from_secs(10);
 const HOLD_MOST: Duration = Duration::from_secs(300);
@@ -28,16 +30,23 @@
 /// hold-off again; it is longer than the ramp of 10 s and the evidence window together.
 const HOLD_RESET: Duration = Duration::from_secs(120);
 /// Evidence windows: the short ones detect fast, the long one detects small differences.
-const SPANS: [Duration; 3] = [Duration::from_secs(2), Duration::from_secs(5), WINDOW];
-/// Samples and standard errors that an ejection needs. Evaluated four times a second for 20
-/// upstreams and 3 windows, 5 standard errors keep 30 min free of chance ejections.
-const COUNT: f64 = 8.0;
-const ERRORS: f64 = 5.0;
+const SPANS: [Duration; 4] = [
+    Duration::from_secs(2),
+    Duration::from_secs(3),
+    Duration::from_secs(5),
+    WINDOW,
+];
+/// Samples and standard errors that an ejection needs. With 2 % of requests ten times as heavy as
+/// usual, 4 heavy ones among 6 reach 6.3 standard errors by chance; 5 among 6 are not seen in years.
+const COUNT: f64 = 6.0;
+const ERRORS: f64 = 6.5;
 /// An upstream that was ejected a short time ago needs less evidence.
-const COUNT_AGAIN: f64 = 4.0;
-const ERRORS_AGAIN: f64 = 3.5;
-/// Samples that a failure domain needs to confirm the evidence of another.
+const COUNT_AGAIN: f64 = 3.0;
+const ERRORS_AGAIN: f64 = 4.5;
+/// Samples and standard errors with which a failure domain confirms the evidence of another. One
+/// heavy request of two stays below 3.
 const DOMAIN_COUNT: f64 = 2.0;
+const DOMAIN_ERRORS: f64 = 3.0;
 const VMS: usize = 2;
 /// Pseudo-samples that pull the mean of a VM with little traffic to 0.
 const VM_PRIOR: f64 = 3.0;
@@ -90,7 +99,10 @@
 #[derive(Default)]
 pub struct Arbiter {
     observers: BTreeMap<VmName, Observer>,
+    /// Evidence of all observers together, to see cheaply that no upstream stands out.
+    totals: BTreeMap<UpstreamId, Cells>,
     tracks: BTreeMap<UpstreamId, Track>,
+    evaluated: Option<Instant>,
 }
 
 impl Arbiter {
@@ -101,6 +113,7 @@
             cells: BTreeMap::new(),
         });
         for (upstream, tally) in evidence.tallies {
+            self.totals.entry(upstream.clone()).or_default().add(now, &tally);
             observer.cells.entry(upstream).or_default().add(now, &tally);
         }
     }
@@ -117,9 +130,14 @@
     ) -> Vec<UpstreamId> {
         self.end_holds(now);
         self.keep_floor(now, capacities, floor);
-        if now.saturating_duration_since(since) < NEW_ARBITER {
+        let is_new = now.saturating_duration_since(since) < NEW_ARBITER;
+        let is_done = self
+            .evaluated
+            .is_some_and(|e| now.saturating_duration_since(e) < EVALUATION);
+        if is_new || is_done {
             return Vec::new();
         }
+        self.evaluated = Some(now);
         let mut ejected = Vec::new();
         for (upstream, _) in self.outliers(now) {
             if self.is_counted_out(&upstream, now) || !self.leaves_floor(&upstream, now, capacities, floor) {
@@ -184,6 +202,7 @@
             active: true,
         };
         self.tracks.insert(upstream.clone(), track);
+        self.totals.remove(upstream);
         for observer in self.observers.values_mut() {
             observer.cells.remove(upstream);
         }
@@ -223,6 +242,9 @@
     fn outliers(&self, now: Instant) -> Vec<(UpstreamId, f64)> {
         let mut found: BTreeMap<UpstreamId, f64> = BTreeMap::new();
         for span in SPANS {
+            if !self.is_notable(now, span) {
+                continue;
+            }
             let table = self.table(now, span);
             for (upstream, gap) in self.stand_out(&table, now) {
                 let worst = found.entry(upstream).or_insert(gap);
@@ -234,6 +256,14 @@
         list
     }
 
+    /// Whether the whole table can hold an outlier.
+    fn is_notable(&self, now: Instant, span: Duration) -> bool {
+        let sums: Vec<Tally> = self.totals.values().map(|c| c.sum(now, span)).collect();
+        let center = middle(sums.iter().filter(|t| t.count > 0.0).map(Tally::mean).collect());
+        let least = center.unwrap_or(0.0).min(0.0) + GAP / 2.0;
+        sums.iter().any(|t| t.count >= COUNT_AGAIN && t.mean() > least)
+    }
+
     fn table(&self, now: Instant, span: Duration) -> Vec<Row> {
         let mut rows = Vec::new();
         for (vm, observer) in &self.observers {
@@ -273,6 +303,10 @@
         }
         let mut found = Vec::new();
         for (upstream, total) in &totals {
+            let (count, least) = self.thresholds(upstream, now);
+            if total.count < count || total.mean() < 0.0 {
+                continue;
+            }
             let others: Vec<&Tally> = totals
                 .iter()
                 .filter(|(name, _)| *name != upstream)
@@ -287,9 +321,8 @@
             }
             let gap = total.mean() - center;
             let errors = gap * total.count.sqrt() / pooled.spread();
-            let (count, least) = self.thresholds(upstream, now);
-            let is_clear = total.count >= count && gap > GAP && errors > least;
-            if is_clear && is_confirmed(rows, upstream, center) {
+            let is_clear = gap > GAP && errors > least;
+            if is_clear && is_confirmed(rows, upstream, center, pooled.spread()) {
                 found.push(((*upstream).clone(), gap));
             }
         }
@@ -317,7 +350,7 @@
 }
 
 /// Whether observers in two failure domains agree, or in all that have traffic to the service.
-fn is_confirmed(rows: &[Row], upstream: &UpstreamId, center: f64) -> bool {
+fn is_confirmed(rows: &[Row], upstream: &UpstreamId, center: f64, spread: f64) -> bool {
     let mut domains: BTreeMap<&DomainName, Tally> = BTreeMap::new();
     let mut vms: BTreeSet<&VmName> = BTreeSet::new();
     for row in rows.iter().filter(|r| r.upstream == *upstream) {
@@ -328,11 +361,21 @@
     }
     let all_vms: BTreeSet<&VmName> = rows.iter().map(|r| &r.vm).collect();
     let all_domains: BTreeSet<&DomainName> = rows.iter().map(|r| &r.domain).collect();
-    let agreeing = domains
-        .values()
-        .filter(|t| t.count >= DOMAIN_COUNT && t.mean() - center > GAP)
-        .count();
-    vms.len() >= VMS.min(all_vms.len()) && agreeing >= VMS.min(all_domains.len())
+    let agrees = |t: &Tally| {
+        let gap = t.mean() - center;
+        t.count >= DOMAIN_COUNT && gap > GAP && gap * t.count.sqrt() / spread > DOMAIN_ERRORS
+    };
+    // All other failure domains together confirm what the one with the most evidence saw.
+    let first = domains.iter().max_by(|a, b| a.1.sum.total_cmp(&b.1.sum));
+    let Some((first, strongest)) = first else {
+        return false;
+    };
+    let mut others = Tally::default();
+    for (_, tally) in domains.iter().filter(|(name, _)| *name != first) {
+        others.merge(tally);
+    }
+    let is_seen = agrees(strongest) && (agrees(&others) || all_domains.len() == 1);
+    vms.len() >= VMS.min(all_vms.len()) && is_seen
 }
 
 /// Allowance for a clock that runs 2 % slower than this one.
@@ -362,6 +405,11 @@
         self.ends = permits.iter().map(|p| (p.upstream.clone(), end(p))).collect();
     }
 
+    /// Whether there are none, also no expired ones.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
     /// Whether the VM keeps the upstream ejected.
     pub fn is_ejected(&self, upstream: &UpstreamId, now: Instant) -> bool {
         self.ends.get(upstream).is_some_and(|end| now < *end)
