--- a/src/operator.rs
+++ b/src/operator.rs
@@ -33,6 +33,9 @@
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::event;
+use crate::event::About;
+use crate::event::Kind;
 use crate::id::Version;
 use crate::id::VmName;
 use crate::kernel::Service;
@@ -103,7 +106,10 @@
             })
             .collect();
         let failed = |e: prometheus::Error| Error::new(Code::Kernel, format!("metric: {e}"));
-        let opts = Opts::new("zinnia_control_calls_total", "Calls by method and result code.");
+        let opts = Opts::new(
+            "zinnia_control_calls_total",
+            "Calls by method and result code; calls with a wrong secret have no method.",
+        );
         let calls = IntCounterVec::new(opts, &["method", "code"]).map_err(failed)?;
         registry.register(Box::new(calls.clone())).map_err(failed)?;
         let this = Arc::new(Self {
@@ -166,12 +172,24 @@
         self.replication.status().leader
     }
 
+    /// Counts a call with a wrong secret; it is not logged, since anyone could fill the log with it.
+    pub(crate) fn count_unauthorized(&self) {
+        let number = Code::Unauthorized.number().to_string();
+        self.calls.with_label_values(&["", &number]).inc();
+    }
+
     /// Counts a call by its result, and logs refusals so that the timeline explains them.
     fn count(&self, method: &'static str, reply: &Reply) {
         let number = reply.as_ref().err().map_or(0, |e| e.code());
         self.calls.with_label_values(&[method, &number.to_string()]).inc();
         let Err(fault) = reply else { return };
         if method != "config.fetch" {
+            let code = u16::try_from(number).unwrap_or_default();
+            let about = About {
+                code,
+                ..About::detail(format!("{method}: {}", fault.message()))
+            };
+            event::record(Kind::ChangeRefused, about);
             warn!("{method} refused with {number}: {}", fault.message());
         }
     }
@@ -181,7 +199,13 @@
         let data =
             serde_json::to_vec(change).map_err(|e| Error::new(Code::BadParams, format!("change: {e}")))?;
         let outcome = self.replication.propose(data).await?;
-        serde_json::from_slice(&outcome).map_err(|e| Error::new(Code::BadAnswer, format!("outcome: {e}")))
+        let outcome: Outcome = serde_json::from_slice(&outcome)
+            .map_err(|e| Error::new(Code::BadAnswer, format!("outcome: {e}")))?;
+        if outcome.fault.is_none() && !outcome.repeated {
+            let detail = format!("{} version {} change {}", change.op, outcome.version, change.id);
+            event::record(Kind::ChangeAccepted, About::detail(detail));
+        }
+        Ok(outcome)
     }
 
     /// Confirms that this replica leads a majority at some time after the call began.
