--- a/examples/detect_bench/world.rs
+++ b/examples/detect_bench/world.rs
@@ -29,7 +29,6 @@
 pub type Micros = u64;
 /// One second.
 pub const SECOND: Micros = 1_000_000;
-const TICK: Micros = SECOND / 10;
 const LEASE: Micros = 4 * SECOND;
 /// Longest queue of an upstream; a longer one is shed.
 const QUEUE: usize = 12;
@@ -99,6 +98,8 @@
     pub heavy: f64,
     /// Factor of the latency of one of the 8 customers.
     pub slow_customer: f64,
+    /// Time between two ticks of a VM.
+    pub tick: Micros,
     /// Length of the run.
     pub length: Micros,
     /// How VMs select upstreams.
@@ -120,6 +121,7 @@
             floor: 90,
             heavy: 0.02,
             slow_customer: 1.0,
+            tick: SECOND / 10,
             length: 60 * SECOND,
             rule: Rule::Fleet,
             faults: Vec::new(),
@@ -491,15 +493,17 @@
     }
 
     fn tick(&mut self) {
-        self.at(TICK, Event::Tick);
+        self.at(self.shape.tick, Event::Tick);
         self.move_lease();
         let now = self.instant(self.now);
         for vm in 0..self.shape.vms {
             if self.vm_has(vm, VmFault::Killed) || self.vm_has(vm, VmFault::Frozen) {
                 continue;
             }
-            for announcement in &self.announcements {
-                self.policies[vm].update(announcement, now);
+            if self.now % SECOND == 0 {
+                for announcement in &self.announcements {
+                    self.policies[vm].update(announcement, now);
+                }
             }
             self.policies[vm].tick(now);
             self.note_plain(vm);
@@ -627,12 +631,8 @@
     }
 
     fn check_floor(&mut self, now: Instant) {
-        let is_used = |a: &&Announcement| {
-            !self.policies.iter().any(|p| match p {
-                Policy::Fleet(balancer) => balancer.is_ejected(&a.upstream, now),
-                Policy::Plain(_) => false,
-            })
-        };
+        let ejecting: Vec<&Policy> = self.policies.iter().filter(|p| p.has_permits()).collect();
+        let is_used = |a: &&Announcement| !ejecting.iter().any(|p| p.is_ejected(&a.upstream, now));
         let slots = self.announcements.iter().filter(is_used).map(|a| a.slots).sum();
         self.report.least_slots = self.report.least_slots.min(slots);
     }
