--- /dev/null
+++ b/examples/capacity/requests.rs
@@ -0,0 +1,162 @@
+//! Grants and claims.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use zinnialoom::claim::AttemptId;
+use zinnialoom::claim::Claim;
+use zinnialoom::claim::ClaimId;
+use zinnialoom::claim::Registry;
+use zinnialoom::claim::holder::Bounds;
+use zinnialoom::claim::holder::Claims;
+use zinnialoom::grant::Ask;
+use zinnialoom::grant::Owner;
+use zinnialoom::grant::Wallet;
+use zinnialoom::lease::Lease;
+use zinnialoom::view::Customer;
+use zinnialoom::view::Limit;
+
+use super::memory;
+use super::micros_each;
+use super::row;
+
+const CUSTOMERS: usize = 20_000;
+const CLAIMS: usize = 20_000;
+const LEASE: Duration = Duration::from_secs(4);
+
+pub(crate) fn measure() {
+    measure_grants();
+    measure_claims();
+}
+
+fn customer(n: usize) -> Customer {
+    let id = smol_str::format_smolstr!("customer-{n:06}");
+    Customer {
+        id,
+        limit: Limit { rate: 30, burst: 60 },
+        version: 1,
+    }
+}
+
+fn measure_grants() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let lease = Lease {
+        since: now,
+        end: later + LEASE,
+    };
+    let before = memory();
+    let mut wallet = Wallet::new("entry-1".into(), 1);
+    let mut asks: Vec<Ask> = Vec::new();
+    let spend = micros_each(CUSTOMERS, |n| {
+        let customer = customer(n);
+        black_box(wallet.spend(later, &customer, later + LEASE));
+        asks.extend(wallet.poll(later, &customer.id));
+    });
+    row(
+        "memory of a wallet, active customer",
+        (memory() - before) / CUSTOMERS as f64,
+        "bytes",
+    );
+    row("spend and ask, core time", spend, "us");
+    let bytes: usize = asks
+        .iter()
+        .map(|a| serde_json::to_vec(a).map_or(0, |v| v.len()))
+        .sum();
+    row("ask for tokens", bytes as f64 / asks.len().max(1) as f64, "bytes");
+    let before = memory();
+    let mut owner = Owner::new();
+    let mut grants = Vec::new();
+    let count = asks.len();
+    let grant = micros_each(count, |n| {
+        let ask = &asks[n];
+        let found = Customer {
+            id: ask.customer.clone(),
+            ..customer(0)
+        };
+        grants.push(owner.ask(later, lease, 1, &found, ask));
+    });
+    row(
+        "memory of an owner, active customer share",
+        (memory() - before) / count as f64,
+        "bytes",
+    );
+    row("answer to an ask, core time", grant, "us");
+    let bytes: usize = grants
+        .iter()
+        .map(|g| serde_json::to_vec(g).map_or(0, |v| v.len()))
+        .sum();
+    row("grant", bytes as f64 / count.max(1) as f64, "bytes");
+}
+
+fn measure_claims() {
+    let now = Instant::now();
+    let vms = (0..48).map(|n| {
+        (
+            smol_str::format_smolstr!("entry-{n:02}"),
+            smol_str::format_smolstr!("domain-{}", n % 3),
+        )
+    });
+    let registry = Arc::new(Registry::new(vms.collect()));
+    let bounds = Bounds::default();
+    let mut claims = Claims::new(now, "entry-00".into(), 1, false, Arc::clone(&registry), bounds);
+    let made: Vec<Claim> = (0..CLAIMS).map(|n| claim(n, &registry)).collect();
+    let bytes: usize = made
+        .iter()
+        .map(|c| serde_json::to_vec(c).map_or(0, |v| v.len()))
+        .sum();
+    let before = memory();
+    let put = micros_each(CLAIMS, |n| {
+        black_box(claims.put(now, &made[n]));
+    });
+    row(
+        "memory of a holder, claim without answer",
+        (memory() - before) / CLAIMS as f64,
+        "bytes",
+    );
+    row("put of a claim, core time at one holder", put, "us");
+    row(
+        "put of a claim, one message",
+        bytes as f64 / CLAIMS as f64,
+        "bytes",
+    );
+    let holders = micros_each(CLAIMS, |n| {
+        black_box(registry.holders(&made[n].id));
+    });
+    row("holders of a claim among 48 VMs, core time", holders, "us");
+    let many = Registry::new(
+        (0..3_300)
+            .map(|n| {
+                (
+                    smol_str::format_smolstr!("entry-{n:04}"),
+                    smol_str::format_smolstr!("domain-{}", n % 17),
+                )
+            })
+            .collect(),
+    );
+    let holders = micros_each(200, |n| {
+        black_box(many.holders(&made[n].id));
+    });
+    row("holders of a claim among 3,300 VMs, core time", holders, "us");
+}
+
+fn claim(n: usize, registry: &Registry) -> Claim {
+    let id = ClaimId {
+        customer: "customer-000001".into(),
+        request: smol_str::format_smolstr!("order-2026-12-04-{n:08}"),
+    };
+    let attempt = AttemptId {
+        vm: "entry-01".into(),
+        incarnation: 1_796_378_406_361,
+        number: n as u64,
+    };
+    let digest = zinnialoom::secret::digest(&id.request);
+    Claim {
+        id,
+        attempt,
+        digest,
+        registry: registry.id(),
+    }
+}
