Limit request bodies in the accept loop and record answers before they leave

Cause: a handler without a time limit of its own, such as the peer port's, waited for ever for a body that never came. Second, in one test run an order that was sent again at once after its answer got InProgress, because the claim was finished beside the answer. The answer now waits at most 20 ms for the holders. Third, a `zinnia-code` header of an upstream was handed on.

Ruled out: waiting for the holders without a bound, which would delay answers while holders cannot be reached.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -202,7 +202,12 @@
     };
     let listed = tokens(&all, "connection");
     let close = parsed.version != Some(1) || listed.iter().any(|t| t == "close");
-    all.retain(|(n, _)| !is_hop_by_hop(n.as_str(), &listed) && *n.as_str() != *"content-length");
+    all.retain(|(name, _)| {
+        let name = name.as_str();
+        // An upstream must not speak for the system; async-h1 writes the length of the body.
+        let own = name.starts_with("zinnia-") || name == "content-length";
+        !own && !is_hop_by_hop(name, &listed)
+    });
     let reply = Reply {
         status,
         headers: all,
--- a/src/frame.rs
+++ b/src/frame.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
 use std::task::ready;
 
 use async_std::io::Read;
@@ -97,6 +98,10 @@
     state: State,
     /// Bytes of the interim answer that are still to be written.
     interim: &'static [u8],
+    /// Set when the body did not arrive in time.
+    expired: bool,
+    /// Whoever waits for bytes of the body.
+    reader: Option<Waker>,
 }
 
 /// One message body on a connection; clones share it.
@@ -116,6 +121,8 @@
             conn,
             state,
             interim: &[],
+            expired: false,
+            reader: None,
         })))
     }
 
@@ -127,6 +134,15 @@
         }
     }
 
+    /// Makes reads of a body that has not ended fail with `TimedOut`.
+    pub(crate) fn expire(&self) {
+        let mut inner = self.0.lock().unwrap();
+        inner.expired = true;
+        if let Some(reader) = inner.reader.take() {
+            reader.wake();
+        }
+    }
+
     /// Whether the body was read to its end.
     pub(crate) fn is_done(&self) -> bool {
         matches!(self.0.lock().unwrap().state, State::Done)
@@ -149,6 +165,10 @@
         if out.is_empty() {
             return Poll::Ready(Ok(0));
         }
+        if inner.expired && !matches!(inner.state, State::Done) {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        inner.reader = Some(cx.waker().clone());
         ready!(inner.poll_interim(cx))?;
         inner.poll_body(cx, out)
     }
--- a/src/head.rs
+++ b/src/head.rs
@@ -272,6 +272,7 @@
 /// The code for an error while the body was read.
 pub(crate) fn body_error(error: &io::Error) -> Error {
     let detail = match error.kind() {
+        io::ErrorKind::TimedOut => return Code::SlowSender.into(),
         io::ErrorKind::InvalidData => error.to_string(),
         _ => "the connection ended inside the body".into(),
     };
--- a/src/http.rs
+++ b/src/http.rs
@@ -62,7 +62,8 @@
 pub struct Limits {
     /// Open connections at most; others get `Overloaded`, "not run".
     pub connections: usize,
-    /// Time in which a head must arrive, and the wait for the first byte on a new connection.
+    /// Time in which a head and a body must arrive each, and the wait for the first byte on a new
+    /// connection.
     pub read: Duration,
     /// How long a connection may stay open between requests.
     pub idle: Duration,
@@ -288,7 +289,7 @@
     }
     attach(&mut request, &frame, head.framing);
     request.set_peer_addr(Some(caller.address));
-    let mut response = shared.handler.respond(request, caller).await;
+    let mut response = respond(shared, request, caller, &frame).await;
     let wants_close = response
         .header("connection")
         .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
@@ -309,6 +310,28 @@
     }
 }
 
+/// Calls the handler; a body that is not there after the read limit ends with an error.
+async fn respond<H: Handler>(
+    shared: &Shared<H>,
+    request: Request,
+    caller: Caller,
+    frame: &Frame,
+) -> Response {
+    let respond = shared.handler.respond(request, caller);
+    if frame.is_done() {
+        return respond.await;
+    }
+    let expire = async {
+        task::sleep(shared.limits.read).await;
+        frame.expire();
+    };
+    futures::pin_mut!(respond, expire);
+    match select(respond, expire).await {
+        Either::Left((response, _)) => response,
+        Either::Right(((), respond)) => respond.await,
+    }
+}
+
 fn attach(request: &mut Request, frame: &Frame, framing: Framing) {
     let length = match framing {
         Framing::Length(0) => return,
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -1,9 +1,11 @@
 //! The attempts of one admitted request.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_std::channel;
 use async_std::future;
 use async_std::io;
 use async_std::task;
@@ -40,6 +42,10 @@
 /// How long the caller's answer waits until a crash is reported to all VMs.
 const REPORT_LIMIT: Duration = Duration::from_millis(500);
 
+/// How long an answer waits until it is recorded with its claim. A caller that sends again at once
+/// would get `InProgress` otherwise; holders that cannot be reached must not delay the answer more.
+const FINISH_WAIT: Duration = Duration::from_millis(20);
+
 /// The end of a request, with what the metrics need.
 pub(crate) struct Done {
     pub(crate) response: Response,
@@ -160,7 +166,7 @@
                 progress.fallback = Some(Done::answered(full(answer), latency));
             }
             Outcome::Answered(answer) => {
-                return Ok(Some(self.answer(job, flight, ticket.take(), answer)));
+                return Ok(Some(self.answer(job, flight, ticket.take(), answer).await));
             }
             Outcome::Unknown(attempt, detail) => {
                 flight.end(attempt);
@@ -209,7 +215,7 @@
         }
     }
 
-    fn answer(
+    async fn answer(
         self: &Arc<Self>,
         job: &Arc<Job>,
         flight: InFlight<S>,
@@ -219,7 +225,7 @@
         let latency = flight.latency;
         let reply = match answer.body {
             AnswerBody::Full(_) => {
-                self.finish_answered(&answer, ticket);
+                self.finish_answered(&answer, ticket).await;
                 let failed = answer.reply.status.is_server_error();
                 flight.end(if failed {
                     Attempt::Failed
@@ -240,14 +246,21 @@
         Done::answered(stream::respond(self, reply), latency)
     }
 
-    /// Records the answer in a task of its own: the caller need not wait for the holders.
-    fn finish_answered(self: &Arc<Self>, answer: &Answer, ticket: Option<Ticket<S>>) {
+    /// Records the answer, so that a second try gets it.
+    ///
+    /// The caller waits for the holders only for [`FINISH_WAIT`]; a task of its own goes on.
+    async fn finish_answered(self: &Arc<Self>, answer: &Answer, ticket: Option<Ticket<S>>) {
         let (Some(ticket), AnswerBody::Full(body)) = (ticket, &answer.body) else {
             return;
         };
         let ending = Ending::Answered(answer.reply.kept(Some(body.clone())));
         let busy = Busy::new(self);
-        task::spawn(async move { busy.0.finish_claim(Some(ticket), ending).await });
+        let (sender, finished) = channel::bounded::<Infallible>(1);
+        task::spawn(async move {
+            busy.0.finish_claim(Some(ticket), ending).await;
+            drop(sender);
+        });
+        let _ = future::timeout(FINISH_WAIT, finished.recv()).await;
     }
 }
 
--- a/tests/path/answers.rs
+++ b/tests/path/answers.rs
@@ -199,12 +199,12 @@
 #[async_std::test]
 async fn heads_of_answers_are_handed_on() {
     const FIRST: &str = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\nconnection: x-hop\r\n\
-        x-hop: 1\r\nkeep-alive: timeout=5\r\nx-kept: 1\r\nset-cookie: a\r\nset-cookie: b\r\ncontent-length: 0\r\n\r\n";
+        x-hop: 1\r\nkeep-alive: timeout=5\r\nx-kept: 1\r\nzinnia-code: 105\r\nset-cookie: a\r\nset-cookie: b\r\ncontent-length: 0\r\n\r\n";
     const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n";
     let (script, entry) = entry(&[&[Answer(FIRST), Answer(HEAD), Answer(OK)]]).await;
     let answer = entry.ask("GET", "/forecast", "").await;
     assert_eq!(status(&answer), 200, "{answer}");
-    for gone in ["x-hop", "keep-alive", "link", "content-type"] {
+    for gone in ["x-hop", "keep-alive", "link", "content-type", "zinnia-code"] {
         assert_eq!(header(&answer, gone), None, "{answer}");
     }
     assert_eq!(header(&answer, "x-kept"), Some("1"));
--- a/tests/path/heads.rs
+++ b/tests/path/heads.rs
@@ -1,16 +1,22 @@
 //! Bad request heads and bodies: each gets its status and code, says "not run", and never reaches
 //! the upstream.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::io::ReadExt;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use async_std::task;
+use tide::http::Request;
+use tide::http::Response;
 use zinnialoom::code::Code;
+use zinnialoom::http;
 
 use crate::fakes::Entry;
 use crate::fakes::KEY;
+use crate::fakes::any;
+use crate::fakes::limits;
 use crate::fakes::read_all;
 use crate::fakes::request;
 use crate::fakes::status;
@@ -187,6 +193,29 @@
     }
 }
 
+struct Reader;
+
+impl http::Handler for Reader {
+    async fn respond(&self, mut request: Request, _caller: http::Caller) -> Response {
+        match request.body_string().await {
+            Ok(body) => body.into(),
+            Err(_) => Response::new(400),
+        }
+    }
+}
+
+/// Guards against handlers without a time limit of their own that wait for a body for ever.
+#[async_std::test]
+async fn the_accept_loop_limits_bodies() {
+    let running = http::bind(any(), limits(), Arc::new(Reader)).await.unwrap();
+    for (body, expected) in [("abcde", 200), ("ab", 400)] {
+        let mut stream = TcpStream::connect(running.address()).await.unwrap();
+        let ask = post("connection: close\r\ncontent-length: 5\r\n", body);
+        stream.write_all(ask.as_bytes()).await.unwrap();
+        assert_eq!(status(&read_all(&mut stream).await), expected);
+    }
+}
+
 /// Guards against connections that stay open although no byte ever comes.
 #[async_std::test]
 async fn a_silent_connection_is_closed() {
