--- a/examples/detect_bench/main.rs
+++ b/examples/detect_bench/main.rs
@@ -36,7 +36,7 @@
         .unwrap_or(default)
 }
 
-fn kinds() -> [(&'static str, FaultKind); 7] {
+fn kinds() -> [(&'static str, FaultKind); 8] {
     [
         ("x3 slow", FaultKind::Slow(3.0)),
         ("x10 slow", FaultKind::Slow(10.0)),
@@ -45,6 +45,7 @@
         ("probe-healthy but failing", FaultKind::Errors(1.0)),
         ("flapping", FaultKind::Flapping),
         ("one-way cut", FaultKind::CutOut),
+        ("sheds 50 %, not a fault", FaultKind::Sheds(0.5)),
     ]
 }
 
--- a/tests/detection.rs
+++ b/tests/detection.rs
@@ -164,6 +164,58 @@
     }
 }
 
+/// Each kind of gray failure is seen, although the upstream still announces itself as ready.
+#[test]
+fn every_kind_of_failure_is_ejected() {
+    let kinds = [
+        FaultKind::Slow(3.0),
+        FaultKind::Errors(0.5),
+        FaultKind::Stalls(0.5),
+        FaultKind::CutOut,
+    ];
+    for (kind, seed) in kinds.into_iter().zip(seeds(4).cycle()) {
+        let shape = Shape {
+            length: START + 15 * SECOND,
+            rate: 100.0,
+            faults: vec![fault(kind, 3, FOREVER)],
+            ..small()
+        };
+        let report = World::new(shape, seed).run();
+        let times = ejections(&report, 3);
+        assert!(
+            !times.is_empty() && times[0] >= START,
+            "{kind:?}, seed {seed}: {times:?}"
+        );
+        assert_eq!(
+            times.len(),
+            report.ejections.len(),
+            "{kind:?}: {:?}",
+            report.ejections
+        );
+    }
+}
+
+/// With one upstream ten times slower, callers wait less than with either baseline.
+#[test]
+fn callers_wait_less_than_with_the_baselines() {
+    let p99 = |rule| {
+        let shape = Shape {
+            length: START + 40 * SECOND,
+            rate: 100.0,
+            rule,
+            faults: vec![fault(FaultKind::Slow(10.0), 3, FOREVER)],
+            ..small()
+        };
+        World::new(shape, 1).run().p99()
+    };
+    let fleet = p99(Rule::Fleet);
+    let others = [p99(Rule::RoundRobin), p99(Rule::Consecutive)];
+    assert!(
+        others.iter().all(|o| fleet < 0.8 * o),
+        "{fleet} ms against {others:?}"
+    );
+}
+
 /// An upstream that flaps is kept out longer each time.
 #[test]
 fn the_hold_off_of_a_flapping_upstream_grows() {
@@ -185,7 +237,7 @@
         let gaps: Vec<Micros> = times.windows(2).map(|t| t[1] - t[0]).collect();
         assert!((3..=7).contains(&times.len()), "seed {seed}: {times:?}");
         for (n, gap) in gaps.iter().enumerate() {
-            let least = 10 * SECOND << n;
+            let least = (10 * SECOND) << n;
             assert!(*gap >= least.min(300 * SECOND), "seed {seed}: {times:?}");
         }
     }
