--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -10,7 +10,10 @@
 use futures::future::join_all;
 use serde_json::Value;
 use serde_json::json;
+use zinnialoom::catalog::TAIL_CHANGES;
+use zinnialoom::catalog::delta::Delta;
 use zinnialoom::code::Code;
+use zinnialoom::view::View;
 
 use crate::fleet::FLEET;
 use crate::fleet::Fleet;
@@ -199,20 +202,38 @@
 async fn entry_vms_get_changes_or_a_snapshot() {
     let fleet = Fleet::start(1).await;
     join(&fleet, 1, 1).await.unwrap();
-    let mut expect = 0;
-    for n in 0..5 {
-        expect = version(
-            &fleet
-                .call("customer.set", &customer(&format!("c{n}"), expect, 1 + n))
-                .await,
-        );
+    let ask =
+        |version: u64, limit: u64| json!({"vm": "e1", "incarnation": 1, "version": version, "limit": limit});
+    for batch in 0..=TAIL_CHANGES / 100 {
+        let changes = (0..100).map(|n| {
+            let id = format!("a{batch}-{n}");
+            let params = json!({"change": id, "expect": 0, "id": id, "rate": 1, "burst": 1});
+            let fleet = &fleet;
+            async move { fleet.call("customer.set", &params).await.unwrap() }
+        });
+        join_all(changes).await;
+    }
+    let answer = fleet.call("config.fetch", &ask(0, 2)).await.unwrap();
+    assert_eq!(
+        (answer.get("changes"), &answer["leader"], &answer["registered"]),
+        (None, &json!(true), &json!(1))
+    );
+    let whole: View = serde_json::from_value(answer["snapshot"].clone()).unwrap();
+    assert_eq!(json!(whole.version), answer["version"]);
+    assert_eq!(whole.customers.len(), TAIL_CHANGES + 100);
+    // Two changes at a time lead from an older version to the same configuration.
+    let latest = whole.version;
+    let mut held = latest - 3;
+    let mut edits = 0;
+    while held < latest {
+        let answer = fleet.call("config.fetch", &ask(held, 2)).await.unwrap();
+        assert_eq!(answer.get("snapshot"), None);
+        let changes: Vec<Delta> = serde_json::from_value(answer["changes"].clone()).unwrap();
+        assert!((1..=2).contains(&changes.len()));
+        held = changes.last().unwrap().version;
+        edits += changes.len();
     }
-    let params = json!({"vm": "e1", "incarnation": 1, "version": expect - 3, "limit": 2});
-    let answer = fleet.call("config.fetch", &params).await.unwrap();
-    assert_eq!(answer["changes"].as_array().unwrap().len(), 2);
-    assert_eq!(answer["version"], json!(expect));
-    assert_eq!(answer["registered"], json!(1));
-    assert_eq!(answer.get("snapshot"), None);
+    assert_eq!(edits, 3);
 }
 
 #[async_std::test]
