--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -155,8 +155,11 @@
     assert_eq!(accepted["version"], json!(version));
     assert_eq!(accepted["in_force"], json!({"acknowledged": 2, "of": 3}));
     let wait = json!({"version": version, "wait_ms": 0});
+    // A call of another run does not displace what the registered run holds.
+    fetch(&fleet, 2, 9, version).await;
     let waited = fleet.call("version.wait", &wait).await.unwrap();
     assert_eq!(waited["everywhere"], json!(false));
+    assert_eq!(waited["in_force"], json!({"acknowledged": 2, "of": 3}));
     fetch(&fleet, 3, 1, version).await;
     let waited = fleet.call("version.wait", &wait).await.unwrap();
     assert_eq!(waited["everywhere"], json!(true));
