Do not answer a rejection that moves nothing at once

Breaking the rule that a lost disk gets a new identity made the random test hang: the leader never goes back behind what a follower has acknowledged, so it answered each rejection of such a disk with the same message, without end. The message is now sent again only after the pause for lost messages.

The worker steps the tick after the messages of a batch: after a slow sync the replies that had arrived meanwhile were handled after the timeout they prevent.

--- a/src/replica/leader.rs
+++ b/src/replica/leader.rs
@@ -200,8 +200,8 @@
         if index > last {
             return;
         }
-        progress.sent = None;
         if matched {
+            progress.sent = None;
             progress.matched = progress.matched.max(index);
             progress.next = progress.next.max(progress.matched + 1);
             let is_done = progress
@@ -210,8 +210,14 @@
                 .is_some_and(|t| t.snapshot.index <= index);
             progress.transfer = progress.transfer.take().filter(|_| !is_done);
         } else {
-            // A reply that was overtaken by a later one must not move back behind the match.
-            progress.next = (index + 1).max(progress.matched + 1);
+            let next = (index + 1).max(progress.matched + 1);
+            // Repeated, overtaken by a later reply, or from a disk that lost synced entries: the
+            // message is sent again after a pause, not at once.
+            if next >= progress.next {
+                return;
+            }
+            progress.next = next;
+            progress.sent = None;
         }
         self.advance_commit(now);
         self.replicate(now);
--- a/src/replication/worker.rs
+++ b/src/replication/worker.rs
@@ -93,38 +93,44 @@
             let mut outputs = Vec::new();
             let mut event = Some(first);
             let mut count = 0;
+            let mut has_tick = false;
             while let Some(next) = event {
-                let Some(input) = self.input(next) else {
-                    return Ok(());
-                };
-                outputs.extend(self.replica.step(Instant::now(), input));
+                match next {
+                    Event::Stop => return Ok(()),
+                    Event::Tick => has_tick = true,
+                    next => outputs.extend(self.handle(next)),
+                }
                 count += 1;
                 event = match count < BATCH_EVENTS {
                     true => self.inbox.try_recv().ok(),
                     false => None,
                 };
             }
+            // After a slow sync, messages that have arrived meanwhile must count before a timeout.
+            if has_tick {
+                outputs.extend(self.replica.step(Instant::now(), Input::Tick));
+            }
             self.perform_all(outputs)?;
         }
         Ok(())
     }
 
-    fn input(&mut self, event: Event) -> Option<Input> {
+    fn handle(&mut self, event: Event) -> Vec<Output> {
         self.token += 1;
         let token = self.token;
-        match event {
-            Event::Tick => Some(Input::Tick),
-            Event::Message(envelope) => Some(Input::Message(envelope)),
+        let input = match event {
+            Event::Tick | Event::Stop => return Vec::new(),
+            Event::Message(envelope) => Input::Message(envelope),
             Event::Propose(data, answer) => {
                 self.proposals.insert(token, answer);
-                Some(Input::Propose { token, data })
+                Input::Propose { token, data }
             }
             Event::Barrier(answer) => {
                 self.barriers.insert(token, answer);
-                Some(Input::Barrier { token })
+                Input::Barrier { token }
             }
-            Event::Stop => None,
-        }
+        };
+        self.replica.step(Instant::now(), input)
     }
 
     /// Carries out outputs and the outputs of the inputs that follow from them.
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -205,6 +205,28 @@
     assert_eq!(test.commit(), index);
 }
 
+/// Answering it at once would exchange messages without end with a disk that lost synced entries.
+#[test]
+fn a_rejection_that_moves_nothing_is_not_answered_at_once() {
+    let mut test = Test::new(3, &[]);
+    let term = test.lead();
+    test.acknowledge(2, term, 2);
+    let data = vec![1].into();
+    test.step(Input::Propose { token: 1, data });
+    let (matched, index) = (false, 1);
+    let outputs = test.receive(2, term, Message::AppendReply { matched, index });
+    assert!(
+        !outputs.iter().any(|o| matches!(o, Output::Send(_))),
+        "{outputs:?}"
+    );
+    test.now += HEARTBEAT * 2;
+    test.receive(2, term, Message::HeartbeatReply { round: 1 });
+    let outputs = test.step(Input::Tick);
+    let is_append =
+        |o: &Output| matches!(o, Output::Send(e) if e.to == "c2" && matches!(e.body, Message::Append { .. }));
+    assert!(outputs.iter().any(is_append), "{outputs:?}");
+}
+
 /// After a crash, stored entries of another history must not follow an installed snapshot.
 #[test]
 fn a_conflicting_log_is_removed_before_a_snapshot_is_stored() {
