--- a/src/journal.rs
+++ b/src/journal.rs
@@ -63,7 +63,7 @@
     /// # Errors
     /// `Io` if the folder cannot be read or written, `Corrupt` with file and offset for damage.
     pub fn open(folder: &Path) -> Result<(Self, Option<Stored>)> {
-        fs::create_dir_all(folder).map_err(|e| Error::io(folder.display(), &e))?;
+        create_folder(folder).map_err(|e| Error::io(folder.display(), &e))?;
         let mut journal = Self {
             folder: folder.to_owned(),
             segments: Vec::new(),
@@ -232,6 +232,19 @@
     }
 }
 
+/// Creates a folder and syncs the entry of each new folder in its parent; without that, a power loss
+/// could take back the whole folder after its files were synced.
+fn create_folder(folder: &Path) -> io::Result<()> {
+    let is_new = |p: &&Path| !p.as_os_str().is_empty() && !p.exists();
+    let new: Vec<&Path> = folder.ancestors().take_while(is_new).collect();
+    fs::create_dir_all(folder)?;
+    for path in new {
+        let parent = path.parent().filter(|p| !p.as_os_str().is_empty());
+        File::open(parent.unwrap_or(Path::new(".")))?.sync_all()?;
+    }
+    Ok(())
+}
+
 fn write_file(path: &Path, bytes: &[u8]) -> io::Result<()> {
     let mut file = File::create(path)?;
     file.write_all(bytes)?;
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -69,8 +69,8 @@
             heartbeat,
             election,
             batch_entries: 1_024,
-            batch_bytes: 1 << 20,
-            chunk_bytes: 1 << 20,
+            batch_bytes: 128 << 10,
+            chunk_bytes: 256 << 10,
             keep_entries: 1_000,
         }
     }
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -30,6 +30,7 @@
 use crate::replica::Bytes;
 use crate::replica::Envelope;
 use crate::replica::HardState;
+use crate::replica::Message;
 use crate::replica::Replica;
 use crate::replica::ReplicaSettings;
 use crate::replica::ReplicaStatus;
@@ -46,10 +47,15 @@
 pub const METHOD: &str = "replica.step";
 /// Inputs that wait for the worker; messages beyond are dropped, proposals wait.
 const EVENT_QUEUE: usize = 4_096;
-/// Messages that wait for one peer; messages beyond are dropped and sent again by the core.
-const PEER_QUEUE: usize = 64;
-/// Calls to one peer at a time, so that one without an answer does not block the next message.
-const PEER_CALLS: usize = 3;
+/// Small messages that wait for one peer; messages beyond are dropped and sent again by the core.
+const SMALL_QUEUE: usize = 64;
+/// Calls with small messages to one peer at a time, so that one without an answer does not block the next.
+const SMALL_CALLS: usize = 3;
+/// The core repeats messages with entries that are not answered; one in the queue is enough.
+const LARGE_QUEUE: usize = 1;
+/// A call with entries or a part of a snapshot may take this many election timeouts. With one, a batch
+/// that is too large for a slow link was broken off and sent again without end.
+const LARGE_ELECTIONS: u32 = 10;
 /// The core gets several ticks per heartbeat, so that its timeouts are kept exactly enough.
 const TICKS_PER_BEAT: u32 = 4;
 /// A proposal is answered within this many election timeouts: enough for the old leader to be given
@@ -128,9 +134,8 @@
         let (events, inbox) = channel::bounded(EVENT_QUEUE);
         let others = common.control.iter().filter(|p| p.vm != common.vm);
         let clients = others.map(|p| (p.vm.clone(), Client::new(p.address, secret.clone())));
-        let call_limit = settings.election;
         let peers = clients
-            .map(|(vm, client)| (vm, spawn_sender(client, call_limit)))
+            .map(|(vm, client)| (vm, Outbox::spawn(client, settings.election)))
             .collect();
         let worker = Worker::new(inbox, replica, journal, peers, Arc::clone(&shared));
         let worker = thread::Builder::new()
@@ -261,14 +266,32 @@
     getrandom::u64().map_err(|e| Error::new(Code::Io, format!("random bytes: {e}")))
 }
 
-/// Starts the tasks that deliver messages to one peer.
-fn spawn_sender(client: Client, limit: Duration) -> Sender<Envelope> {
-    let (sender, receiver) = channel::bounded::<Envelope>(PEER_QUEUE);
-    let client = Arc::new(client);
-    for _ in 0..PEER_CALLS {
-        task::spawn(deliver(Arc::clone(&client), receiver.clone(), limit));
+/// Queues of messages to one peer. Entries and parts of snapshots have their own, so that they do not
+/// delay heartbeats and votes.
+struct Outbox {
+    small: Sender<Envelope>,
+    large: Sender<Envelope>,
+}
+
+impl Outbox {
+    /// Starts the tasks that deliver messages to one peer.
+    fn spawn(client: Client, election: Duration) -> Self {
+        let (small, small_queue) = channel::bounded(SMALL_QUEUE);
+        let (large, large_queue) = channel::bounded(LARGE_QUEUE);
+        let client = Arc::new(client);
+        for _ in 0..SMALL_CALLS {
+            task::spawn(deliver(Arc::clone(&client), small_queue.clone(), election));
+        }
+        task::spawn(deliver(client, large_queue, election * LARGE_ELECTIONS));
+        Self { small, large }
+    }
+
+    /// Queues a message; it is dropped if the queue is full.
+    fn send(&self, envelope: Envelope) {
+        let is_large = matches!(envelope.body, Message::Append { .. } | Message::Chunk { .. });
+        let queue = if is_large { &self.large } else { &self.small };
+        let _ = queue.try_send(envelope);
     }
-    sender
 }
 
 async fn deliver(client: Arc<Client>, receiver: Receiver<Envelope>, limit: Duration) {
--- a/src/replication/worker.rs
+++ b/src/replication/worker.rs
@@ -6,12 +6,12 @@
 use std::time::Instant;
 
 use async_std::channel::Receiver;
-use async_std::channel::Sender;
 use async_std::task;
 
 use super::Answer;
 use super::Event;
 use super::Machine;
+use super::Outbox;
 use super::Shared;
 use crate::code::Code;
 use crate::error::Error;
@@ -45,7 +45,7 @@
     inbox: Receiver<Event>,
     replica: Replica,
     journal: Journal,
-    peers: BTreeMap<VmName, Sender<Envelope>>,
+    peers: BTreeMap<VmName, Outbox>,
     shared: Arc<Shared<M>>,
     /// Number of the next proposal or barrier.
     token: u64,
@@ -61,7 +61,7 @@
         inbox: Receiver<Event>,
         replica: Replica,
         journal: Journal,
-        peers: BTreeMap<VmName, Sender<Envelope>>,
+        peers: BTreeMap<VmName, Outbox>,
         shared: Arc<Shared<M>>,
     ) -> Self {
         let applied = replica.status().applied;
@@ -215,7 +215,7 @@
     fn send(&self, envelope: Envelope) {
         fail::fail_point!("replication::before_send");
         if let Some(peer) = self.peers.get(&envelope.to) {
-            let _ = peer.try_send(envelope);
+            peer.send(envelope);
         }
     }
 
