Fix leases that a change of the witness group gave to two holders

It found two holders after quick changes of the witness group, because a witness renewed promises of a holder that had a majority of the new group only and never the lease, and because a witness that skipped a group did not wait. A request now names the partitions that the holder holds, and only these are renewed during the wait. Answers carry the run that they belong to. Ruled out: waiting after each step of a change; all shares would pause for 4 s.

--- a/src/grant.rs
+++ b/src/grant.rs
@@ -88,6 +88,8 @@
 /// Answer to an ask.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
+    /// Run of the spender that asked.
+    pub incarnation: Incarnation,
     /// Number of the ask.
     pub number: u64,
     /// Customer of the ask.
@@ -112,6 +114,7 @@
     /// The answer of a VM that does not hold the lease of the share.
     pub fn refuse(&self, retry: Duration) -> Grant {
         Grant {
+            incarnation: self.incarnation,
             number: self.number,
             customer: self.customer.clone(),
             share: self.share,
--- a/src/grant/owner.rs
+++ b/src/grant/owner.rs
@@ -184,6 +184,7 @@
         }
         let short = tokens < ask.want;
         Grant {
+            incarnation: ask.incarnation,
             number: ask.number,
             customer: ask.customer.clone(),
             share: ask.share,
--- a/src/grant/wallet.rs
+++ b/src/grant/wallet.rs
@@ -343,6 +343,9 @@
     ///
     /// Only the first answer to a pending ask counts. Its life runs from when the ask was sent.
     pub fn receive(&mut self, now: Instant, grant: &Grant) -> Vec<Ticket> {
+        if grant.incarnation != self.incarnation {
+            return Vec::new();
+        }
         let Some(account) = self.accounts.get_mut(&grant.customer) else {
             return Vec::new();
         };
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -55,6 +55,8 @@
     pub number: u64,
     /// Wanted partitions.
     pub partitions: Vec<u32>,
+    /// Those of them that the holder held when it sent the request.
+    pub held: Vec<u32>,
 }
 
 /// Why a witness promised a partition or did not.
@@ -73,6 +75,8 @@
 /// Answer of one witness.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseReply {
+    /// Run of the holder that asked.
+    pub incarnation: Incarnation,
     /// Number of the request.
     pub number: u64,
     /// Verdict for each wanted partition.
@@ -87,7 +91,8 @@
 
 /// Makes promises; an entry VM in the witness group.
 pub struct Witness {
-    group: u64,
+    group: Witnesses,
+    group_id: u64,
     quiet_until: Instant,
     settled_at: Instant,
     promises: HashMap<u32, Promise>,
@@ -97,7 +102,8 @@
     /// A witness that just started and has no memory of earlier promises.
     pub fn new(now: Instant) -> Self {
         Self {
-            group: group_id(&Witnesses::default()),
+            group: Witnesses::default(),
+            group_id: group_id(&Witnesses::default()),
             quiet_until: now + LEASE,
             settled_at: now,
             promises: HashMap::new(),
@@ -107,17 +113,19 @@
     /// Follows the configured witness group.
     ///
     /// While `previous` is set, every lease also needs a majority of the old group, which remembers
-    /// its promises. Once it is not, a lease of the old group alone may still run for one length,
-    /// so a witness makes no promise to a new holder for that time; renewals continue.
+    /// its promises. A witness that knew the old group on its own needs no wait then. After any
+    /// other step, also one that skipped a group, a lease of a group that it did not follow may
+    /// still run, so for one length it only renews the promises of holders that have the lease.
     pub fn set_group(&mut self, now: Instant, group: &Witnesses) {
-        let id = group_id(group);
-        if id == self.group {
+        if self.group == *group {
             return;
         }
-        self.group = id;
-        if group.previous.is_empty() {
+        let joint = self.group.previous.is_empty() && self.group.current == group.previous;
+        if !joint || group.previous.is_empty() {
             self.settled_at = now + LEASE;
         }
+        self.group = group.clone();
+        self.group_id = group_id(group);
     }
 
     /// Answers a request for partitions.
@@ -129,13 +137,14 @@
             .map(|p| (*p, self.judge(now, request, *p)))
             .collect();
         LeaseReply {
+            incarnation: request.incarnation,
             number: request.number,
             verdicts,
         }
     }
 
     fn judge(&mut self, now: Instant, request: &LeaseRequest, partition: u32) -> Verdict {
-        if request.group != self.group {
+        if request.group != self.group_id {
             return Verdict::OtherGroup;
         }
         if now < self.quiet_until {
@@ -145,7 +154,10 @@
             Some(p) if p.holder != request.holder || p.incarnation != request.incarnation => {
                 return Verdict::Taken;
             }
-            None if now < self.settled_at => return Verdict::Quiet,
+            // A promise is no proof of a lease: under the joint groups this witness may have been in
+            // a majority of the new one only.
+            Some(_) if request.held.contains(&partition) => {}
+            _ if now < self.settled_at => return Verdict::Quiet,
             _ => {}
         }
         let promise = Promise {
@@ -266,6 +278,7 @@
             group: group_id(&self.group),
             number: self.number,
             partitions: self.wanted.clone(),
+            held: self.leases.keys().copied().collect(),
         };
         let mut to: Vec<_> = self.group.current.iter().chain(&self.group.previous).collect();
         to.sort();
@@ -273,8 +286,11 @@
         to.into_iter().map(|w| (w.clone(), request.clone())).collect()
     }
 
-    /// Takes the answer of a witness; repeated and late answers do no harm.
+    /// Takes the answer of a witness; repeated answers and those to an earlier run do no harm.
     pub fn reply(&mut self, now: Instant, from: &VmName, reply: &LeaseReply) {
+        if reply.incarnation != self.incarnation {
+            return;
+        }
         let Some(sent) = self.sent.get(&reply.number).copied() else {
             return;
         };
--- a/tests/limit_bound.rs
+++ b/tests/limit_bound.rs
@@ -24,16 +24,16 @@
     exchange: 700 * MS,
     partitions: 8,
 };
-const LIMITS: [Limit; 6] = [
+const LIMITS: [Limit; 7] = [
     Limit { rate: 1, burst: 1 },
     Limit { rate: 3, burst: 10 },
-    Limit { rate: 20, burst: 4 },
+    Limit { rate: 20, burst: 6 },
     Limit { rate: 60, burst: 60 },
-    Limit {
-        rate: 100,
-        burst: 300,
-    },
-    Limit { rate: 200, burst: 20 },
+    // A burst of many seconds shows buckets that are too full; a small one shows tokens that
+    // outlive their lease, because the next owner refills at once.
+    Limit { rate: 6, burst: 300 },
+    Limit { rate: 300, burst: 90 },
+    Limit { rate: 90, burst: 12 },
 ];
 
 /// A customer's callers: how many requests per second, and on which VM the next one comes.
@@ -69,22 +69,30 @@
     let mut loads: Vec<_> = limits
         .iter()
         .map(|l| Load {
-            rate: f64::from(l.rate) * pick.random_range(0.5..3.0),
+            rate: f64::from(l.rate) * [0.05, 0.5, 2.0, 4.0][pick.random_range(0..4)],
             spread: pick.random_range(0..3),
             home: pick.random_range(0..NODES),
         })
         .collect();
     let end = if seed % 8 == 0 { 48 * SECOND } else { 20 * SECOND };
+    let hoarders: Vec<usize> = (0..4).map(|_| pick.random_range(0..NODES)).collect();
     let mut next_fault = 5 * SECOND;
+    let mut next_hoard = 5 * SECOND;
     let mut due: Vec<_> = loads.iter().map(|_| 4 * SECOND).collect();
     loop {
         let (customer, at) = (0..due.len())
             .map(|c| (c, due[c]))
             .min_by_key(|(_, t)| *t)
             .unwrap();
-        if at.min(next_fault) >= end {
+        if at.min(next_fault).min(next_hoard) >= end {
             break;
         }
+        if next_hoard <= at.min(next_fault) {
+            world.run_to(next_hoard);
+            next_hoard += pick.random_range(20 * MS..800 * MS);
+            hoard(&mut world, &mut pick, &hoarders);
+            continue;
+        }
         if next_fault <= at {
             world.run_to(next_fault);
             next_fault += pick.random_range(200 * MS..4 * SECOND);
@@ -124,6 +132,24 @@
     world.meters.iter().map(|m| m.spent).sum()
 }
 
+/// Spenders that keep all tokens they can get, and spend them at one moment.
+fn hoard(world: &mut World, pick: &mut rand::rngs::StdRng, hoarders: &[usize]) {
+    let customer = pick.random_range(0..world.customers.len());
+    if pick.random_bool(0.7) {
+        world.hoard(hoarders[pick.random_range(0..hoarders.len())], customer);
+        return;
+    }
+    for n in hoarders {
+        world.flash(*n, customer);
+        world.hoard(*n, customer);
+    }
+    // What the owners grant at this moment is spent at once.
+    world.run_to(world.now + 9 * MS);
+    for n in hoarders {
+        world.flash(*n, customer);
+    }
+}
+
 fn fault(world: &mut World, pick: &mut rand::rngs::StdRng, end: u64) {
     let customer = pick.random_range(0..world.customers.len());
     let any = pick.random_range(0..NODES);
--- a/tests/support/limit_world.rs
+++ b/tests/support/limit_world.rs
@@ -13,6 +13,7 @@
 use zinnialoom::grant::Ask;
 use zinnialoom::grant::Grant;
 use zinnialoom::grant::Owner;
+use zinnialoom::grant::Report;
 use zinnialoom::grant::Spend;
 use zinnialoom::grant::Wallet;
 use zinnialoom::id::CustomerId;
@@ -34,6 +35,8 @@
 const SILENT: u64 = 3 * SECOND;
 /// Head of an HTTP request or answer between processes, estimated.
 const HEAD_BYTES: usize = 180;
+/// Numbers of the asks of hoarders start here, so that they do not meet those of the wallet.
+const HOARD: u64 = 1 << 40;
 
 /// Reference bucket in real time: a spend that it cannot cover is an excess over some window.
 pub struct Meter {
@@ -120,6 +123,20 @@
     owner: Owner,
     wallet: Wallet,
     waiting: BTreeMap<u64, (usize, Instant)>,
+    hoard: Vec<Hoard>,
+    hoard_asks: HashMap<u64, Instant>,
+}
+
+/// Tokens that a spender keeps within the rules but as long as it may.
+struct Hoard {
+    customer: usize,
+    share: u8,
+    number: u64,
+    left: u32,
+    spent: u32,
+    end: Instant,
+    limit: Limit,
+    version: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -191,7 +208,8 @@
                 name: name.clone(),
                 incarnation: 1,
                 offset,
-                drift: rng.random_range(-10_000..=10_000),
+                // The extremes are the worst case.
+                drift: [-10_000, 10_000, rng.random_range(-10_000..=10_000)][rng.random_range(0..3)],
                 up: true,
                 frozen: false,
                 down_since: None,
@@ -206,6 +224,8 @@
                 owner: Owner::new(),
                 wallet: Wallet::new(name.clone(), 1),
                 waiting: BTreeMap::new(),
+                hoard: Vec::new(),
+                hoard_asks: HashMap::new(),
             });
         }
         let mut world = Self {
@@ -326,10 +346,19 @@
         self.group = group;
     }
 
-    /// Control drops the previous group once a majority of both has acknowledged the change. All
-    /// VMs that run have by then; a frozen one keeps the old group.
+    /// Control drops the previous group once a majority of both has acknowledged the change.
     pub fn settle_group_later(&mut self, group: Witnesses) {
-        self.push(self.now + 2 * SECOND, Event::Settle(group));
+        self.push(self.now + SECOND, Event::Settle(group));
+    }
+
+    fn settle(&mut self, group: Witnesses) {
+        let knows = |n: &&VmName| self.nodes[self.index[*n]].group == self.group;
+        let majority = |names: &[VmName]| names.iter().filter(knows).count() > names.len() / 2;
+        if majority(&self.group.current) && majority(&self.group.previous) {
+            self.group = group;
+            return;
+        }
+        self.settle_group_later(group);
     }
 
     /// One request of a customer at a VM.
@@ -356,6 +385,84 @@
         self.send_asks(n, asks);
     }
 
+    /// The VM asks all shares for the whole burst, apart from its wallet, and keeps the tokens.
+    pub fn hoard(&mut self, n: usize, customer: usize) {
+        if !self.is_up(n) {
+            return;
+        }
+        let now = self.local(n);
+        for share in 0..grant::SHARES {
+            self.order += 1;
+            let number = HOARD + self.order;
+            let node = &mut self.nodes[n];
+            node.hoard_asks.insert(number, now);
+            let ask = Ask {
+                spender: node.name.clone(),
+                incarnation: node.incarnation,
+                number,
+                customer: self.customers[customer].id.clone(),
+                share,
+                want: self.customers[customer].limit.burst,
+                reports: reports(&mut node.hoard, customer, share, self.rng.random_bool(0.3)),
+            };
+            self.send_asks(n, vec![ask]);
+        }
+    }
+
+    /// The VM spends all that it hoarded and may still spend by its clock and its view.
+    pub fn flash(&mut self, n: usize, customer: usize) {
+        if !self.is_up(n) || !self.is_fresh(n) {
+            return;
+        }
+        let now = self.local(n);
+        for hoard in self.nodes[n]
+            .hoard
+            .iter_mut()
+            .filter(|h| h.customer == customer && h.end > now)
+        {
+            for _ in 0..hoard.left {
+                self.meters[customer].spend(self.now);
+            }
+            hoard.spent += hoard.left;
+            hoard.left = 0;
+        }
+    }
+
+    fn keep(&mut self, n: usize, now: Instant, grant: &Grant) {
+        let node = &mut self.nodes[n];
+        node.hoard.retain(|h| h.end > now);
+        let Some(sent) = node.hoard_asks.remove(&grant.number) else {
+            return;
+        };
+        let customer = node.customers.iter().position(|c| c.id == grant.customer);
+        let customer = customer.unwrap();
+        node.hoard.push(Hoard {
+            customer,
+            share: grant.share,
+            number: grant.number,
+            left: grant.tokens,
+            spent: 0,
+            end: sent + zinnialoom::lease::shorten(Duration::from_micros(grant.life_us)),
+            limit: grant.limit,
+            version: grant.version,
+        });
+        node.drop_outdated();
+    }
+
+    /// No two VMs may hold a partition at the same time, whatever their clocks say.
+    fn check_leases(&self, n: usize) {
+        for p in 0..self.pace.partitions {
+            if self.nodes[n].holder.held(self.local(n), p).is_none() {
+                continue;
+            }
+            let up = (0..self.nodes.len()).filter(|m| *m != n && self.nodes[*m].up);
+            let other = up
+                .filter(|m| self.nodes[*m].holder.held(self.local(*m), p).is_some())
+                .next();
+            assert_eq!(other, None, "VM {n} holds partition {p} too");
+        }
+    }
+
     fn is_fresh(&self, n: usize) -> bool {
         self.nodes[n]
             .fresh_until
@@ -384,7 +491,7 @@
             Event::Resume(n) => self.resume(n),
             Event::Restart(n) => self.restart(n),
             Event::Detect => self.detect(),
-            Event::Settle(group) => self.group = group,
+            Event::Settle(group) => self.settle(group),
             Event::InForce(customer, limit) => {
                 if self.customers[customer].limit == limit {
                     self.meters[customer].set_limit(self.now, limit);
@@ -427,6 +534,8 @@
         node.owner = Owner::new();
         node.wallet = Wallet::new(node.name.clone(), node.incarnation);
         node.waiting.clear();
+        node.hoard.clear();
+        node.hoard_asks.clear();
         self.queue
             .retain(|_, e| !matches!(e, Event::Wallet(m) | Event::Lease(m) | Event::Exchange(m) if *m == n));
         self.start(n);
@@ -443,6 +552,7 @@
         node.group = self.group.clone();
         if node.customers != self.customers {
             node.customers.clone_from(&self.customers);
+            node.drop_outdated();
             let map: HashMap<_, _> = self.customers.iter().map(|c| (c.id.clone(), c.clone())).collect();
             node.wallet.set_limits(&map);
         }
@@ -522,6 +632,7 @@
             Body::Promise(reply) => {
                 let witness = self.nodes[from].name.clone();
                 self.nodes[to].holder.reply(now, &witness, &reply);
+                self.check_leases(to);
             }
             Body::Asks(asks) => {
                 let grants = asks.iter().map(|a| self.answer(to, now, a)).collect();
@@ -545,6 +656,10 @@
 
     fn receive(&mut self, n: usize, now: Instant, grants: &[Grant]) {
         for grant in grants {
+            if grant.number >= HOARD {
+                self.keep(n, now, grant);
+                continue;
+            }
             let tickets = self.nodes[n].wallet.receive(now, grant);
             for ticket in tickets {
                 let Some((customer, deadline)) = self.nodes[n].waiting.remove(&ticket) else {
@@ -562,6 +677,31 @@
     }
 }
 
+impl Node {
+    /// Tokens of a higher limit than the VM knows to be in force are not spent.
+    fn drop_outdated(&mut self) {
+        let customers = &self.customers;
+        self.hoard.retain(|h| {
+            let known = &customers[h.customer];
+            let higher = h.limit.rate > known.limit.rate || h.limit.burst > known.limit.burst;
+            h.version >= known.version || !higher
+        });
+    }
+}
+
+/// Reports on the hoarded tokens of a share; with `close`, the rest is given up.
+fn reports(hoard: &mut Vec<Hoard>, customer: usize, share: u8, close: bool) -> Vec<Report> {
+    let of_share = |h: &Hoard| h.customer == customer && h.share == share;
+    let list = hoard.iter().filter(|h| of_share(h)).map(|h| Report {
+        number: h.number,
+        spent: h.spent,
+        closed: close || h.left == 0,
+    });
+    let list = list.collect();
+    hoard.retain(|h| !of_share(h) || !(close || h.left == 0));
+    list
+}
+
 impl Body {
     fn size(&self) -> usize {
         let text = match self {
