Apply a changed limit to the time since the last ask

Cause: an owner refilled a bucket under the old limit up to the first ask after a lowered rate, so a spender could get some tokens more than the new limit allows.

--- a/src/grant/owner.rs
+++ b/src/grant/owner.rs
@@ -80,18 +80,25 @@
     }
 
     fn refill(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.at).as_nanos();
-        let added = elapsed * u128::from(self.limit.rate) * u128::from(REFILL_PERCENT) / 100;
-        let added = u64::try_from(added).unwrap_or(u64::MAX);
+        let added = self.added(self.at, now);
         self.level = self.level.saturating_add(added).min(self.room());
         self.at = self.at.max(now);
     }
 
-    fn set_limit(&mut self, limit: Limit) {
+    /// Brings the bucket to the present under the limit that is in force now.
+    ///
+    /// A changed limit is seen with the first ask after it, and the moment of the change is unknown.
+    /// The lower of both limits therefore counts for the whole time since the last ask.
+    fn update(&mut self, now: Instant, limit: Limit) {
         if self.limit != limit {
-            self.limit = limit;
+            self.limit = Limit {
+                rate: self.limit.rate.min(limit.rate),
+                burst: self.limit.burst.min(limit.burst),
+            };
             self.level = self.level.min(self.room());
         }
+        self.advance(now);
+        self.limit = limit;
     }
 
     fn report(&mut self, ask: &Ask, report: &Report) {
@@ -125,8 +132,19 @@
         Duration::from_nanos(missing).clamp(RETRY_MIN, RETRY_MAX)
     }
 
-    fn is_full(&self) -> bool {
-        self.outstanding.is_empty() && self.level >= u64::from(self.limit.burst) * TOKEN
+    fn added(&self, since: Instant, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(since).as_nanos();
+        let added = elapsed * u128::from(self.limit.rate) * u128::from(REFILL_PERCENT) / 100;
+        u64::try_from(added).unwrap_or(u64::MAX)
+    }
+
+    /// Whether the bucket is full without outstanding tokens; does not move it forward, because
+    /// its limit may have changed since the last ask.
+    fn is_full(&self, now: Instant) -> bool {
+        let end = self.outstanding.iter().map(|o| o.end).max();
+        let since = end.map_or(self.at, |e| e.max(self.at));
+        let level = self.level.saturating_add(self.added(since, now));
+        since <= now && level >= u64::from(self.limit.burst) * TOKEN
     }
 }
 
@@ -165,8 +183,7 @@
         }
         let limit = share_limit(customer.limit, ask.share);
         let bucket = self.bucket(now, lease, partition, limit, ask);
-        bucket.advance(now);
-        bucket.set_limit(limit);
+        bucket.update(now, limit);
         for report in &ask.reports {
             bucket.report(ask, report);
         }
@@ -222,10 +239,7 @@
         self.shelves
             .retain(|p, shelf| held(*p).is_some_and(|l| l.since == shelf.since));
         for shelf in self.shelves.values_mut() {
-            shelf.buckets.retain(|_, bucket| {
-                bucket.advance(now);
-                !bucket.is_full()
-            });
+            shelf.buckets.retain(|_, bucket| !bucket.is_full(now));
         }
     }
 
--- a/src/grant/wallet.rs
+++ b/src/grant/wallet.rs
@@ -1,5 +1,6 @@
 //! Tokens that this VM may spend, and when it asks for more.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -285,7 +286,8 @@
 pub struct Wallet {
     me: VmName,
     incarnation: Incarnation,
-    accounts: HashMap<CustomerId, Account>,
+    /// Ordered, so that equal inputs give equal outputs in the same order.
+    accounts: BTreeMap<CustomerId, Account>,
     numbers: u64,
 }
 
@@ -295,7 +297,7 @@
         Self {
             me,
             incarnation,
-            accounts: HashMap::new(),
+            accounts: BTreeMap::new(),
             numbers: 0,
         }
     }
