Test the limit, claim and quarantine services on loopback

Cause: the cores are tested in virtual time; this shows that the services around them work over sockets with 3 to 5 VMs in one process.

--- /dev/null
+++ b/tests/limit_services.rs
@@ -0,0 +1,156 @@
+//! Guards against services that do not work over real sockets, with a few VMs on loopback, and
+//! against wrong results when a step of a claim or grant fails.
+
+#[path = "support/local_fleet.rs"]
+mod local_fleet;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use local_fleet::Member;
+use local_fleet::customer;
+use local_fleet::fleet;
+use local_fleet::until;
+use zinnialoom::claims::Ticket;
+use zinnialoom::code::Code;
+use zinnialoom::error::Result;
+use zinnialoom::lease::PARTITIONS;
+use zinnialoom::stage::ClaimAsk;
+use zinnialoom::stage::Claimed;
+use zinnialoom::stage::Claims;
+use zinnialoom::stage::Ending;
+use zinnialoom::stage::KeptAnswer;
+use zinnialoom::stage::Limits;
+use zinnialoom::stage::Quarantine;
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(5)
+}
+
+fn ask(request: &str, digest: &str) -> ClaimAsk {
+    ClaimAsk {
+        customer: "c".into(),
+        request: request.into(),
+        digest: digest.into(),
+    }
+}
+
+fn answer() -> KeptAnswer {
+    KeptAnswer {
+        status: 201,
+        headers: vec![("content-type".into(), "text/plain".into())],
+        body: Some(b"done".to_vec()),
+    }
+}
+
+async fn claim(vm: &Member, request: &str) -> Result<Claimed<Ticket>> {
+    vm.claims.claim(&ask(request, "d"), soon()).await
+}
+
+async fn run(vm: &Member, request: &str) -> Ticket {
+    match claim(vm, request).await {
+        Ok(Claimed::Run(ticket)) => ticket,
+        other => panic!("the claim gave {other:?}"),
+    }
+}
+
+fn code<T>(result: Result<T>) -> Option<Code> {
+    result.err().map(|e| e.code)
+}
+
+async fn settled(vms: &[Member]) {
+    until(Duration::from_secs(10), || {
+        vms.iter().all(|v| v.claims.is_settled())
+    })
+    .await;
+}
+
+async fn leased(vms: &[Member]) {
+    let all = PARTITIONS as usize;
+    let held = || vms.iter().map(|v| v.limits.held()).sum::<usize>() == all;
+    until(Duration::from_secs(15), held).await;
+}
+
+#[async_std::test]
+async fn a_rate_holds_over_several_vms() {
+    let vms = fleet(4).await;
+    leased(&vms).await;
+    let start = Instant::now();
+    let mut taken = 0;
+    while start.elapsed() < Duration::from_secs(3) {
+        let takes = vms
+            .iter()
+            .map(|vm| async { vm.limits.take(&customer(), soon()).await.is_ok() });
+        taken += futures::future::join_all(takes)
+            .await
+            .into_iter()
+            .filter(|t| *t)
+            .count();
+    }
+    let limit = customer().limit;
+    let bound = f64::from(limit.burst) + f64::from(limit.rate) * start.elapsed().as_secs_f64();
+    assert!(taken as f64 <= bound, "{taken} of {bound}");
+    assert!(taken as f64 >= bound * 0.7, "only {taken} of {bound}");
+}
+
+#[async_std::test]
+async fn a_second_try_meets_the_first() {
+    let vms = fleet(5).await;
+    settled(&vms).await;
+    let ticket = run(&vms[0], "r1").await;
+    assert!(vms[0].claims.is_valid(&ticket, Instant::now()));
+    assert!(
+        !vms[0]
+            .claims
+            .is_valid(&ticket, Instant::now() + Duration::from_secs(1))
+    );
+    assert_eq!(code(claim(&vms[1], "r1").await), Some(Code::InProgress));
+    let reused = vms[2].claims.claim(&ask("r1", "other"), soon()).await;
+    assert_eq!(code(reused), Some(Code::IdReused));
+    vms[0].claims.finish(ticket, Ending::Answered(answer())).await;
+    match claim(&vms[3], "r1").await {
+        Ok(Claimed::Recorded(kept)) => assert_eq!(kept, answer()),
+        other => panic!("the second try gave {other:?}"),
+    }
+}
+
+#[async_std::test]
+async fn a_request_that_did_not_run_may_run_later() {
+    let vms = fleet(3).await;
+    settled(&vms).await;
+    let ticket = run(&vms[0], "r2").await;
+    vms[0].claims.finish(ticket, Ending::NotRun).await;
+    let ticket = run(&vms[1], "r2").await;
+    vms[1].claims.finish(ticket, Ending::Unknown).await;
+    assert_eq!(code(claim(&vms[2], "r2").await), Some(Code::OutcomeUnknown));
+}
+
+/// Two tries at once: at most one runs, and not both are refused for good.
+#[async_std::test]
+async fn two_tries_at_once_do_not_both_run() {
+    let vms = fleet(5).await;
+    settled(&vms).await;
+    for n in 0..20 {
+        let name = format!("both{n}");
+        let (a, b) = futures::join!(claim(&vms[0], &name), claim(&vms[1], &name));
+        let runs = [&a, &b]
+            .iter()
+            .filter(|r| matches!(r, Ok(Claimed::Run(_))))
+            .count();
+        assert!(runs <= 1, "{a:?} {b:?}");
+    }
+}
+
+#[async_std::test]
+async fn two_crashes_block_a_request_on_all_vms() {
+    let vms = fleet(3).await;
+    vms[0].quarantine.report("f").await;
+    assert!(!vms[2].quarantine.is_blocked("f", Instant::now()));
+    vms[1].quarantine.report("f").await;
+    for vm in &vms {
+        let now = Instant::now();
+        assert!(vm.quarantine.is_blocked("f", now));
+        assert!(!vm.quarantine.is_blocked("g", now));
+        assert!(!vm.quarantine.is_blocked("f", now + Duration::from_secs(601)));
+    }
+}
--- /dev/null
+++ b/tests/support/local_fleet.rs
@@ -0,0 +1,138 @@
+//! A few VMs of the limit, claim and quarantine services in one process, on loopback.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use futures::StreamExt;
+use jsonrpsee::RpcModule;
+use zinnialoom::claims::FleetClaims;
+use zinnialoom::crashes::FleetQuarantine;
+use zinnialoom::id::VmName;
+use zinnialoom::limits::Alive;
+use zinnialoom::limits::FleetLimits;
+use zinnialoom::rpc::Server;
+use zinnialoom::secret::Secret;
+use zinnialoom::stage::Config;
+use zinnialoom::timer::Timer;
+use zinnialoom::view::Customer;
+use zinnialoom::view::Limit;
+use zinnialoom::view::View;
+use zinnialoom::view::Vm;
+
+/// The configuration of one VM: always fresh, changed by the test.
+pub struct Fixed(pub Mutex<Arc<View>>);
+
+impl Config for Fixed {
+    fn view(&self) -> Arc<View> {
+        Arc::clone(&self.0.lock().unwrap())
+    }
+
+    fn is_fresh(&self, _: Instant) -> bool {
+        true
+    }
+}
+
+pub struct All(pub Vec<VmName>);
+
+impl Alive for All {
+    fn alive(&self, _: Instant) -> Vec<VmName> {
+        self.0.clone()
+    }
+}
+
+pub struct Member {
+    pub limits: FleetLimits<Fixed, All>,
+    pub claims: FleetClaims<Fixed>,
+    pub quarantine: FleetQuarantine<Fixed>,
+    _timer: Timer,
+}
+
+pub fn customer() -> Customer {
+    Customer {
+        id: "c".into(),
+        limit: Limit { rate: 40, burst: 30 },
+        version: 1,
+    }
+}
+
+pub async fn fleet(count: usize) -> Vec<Member> {
+    let mut listeners = Vec::new();
+    let mut view = View {
+        version: 1,
+        ..View::default()
+    };
+    for n in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        let name = VmName::from(format!("vm{n}"));
+        let vm = Vm {
+            name: name.clone(),
+            domain: format!("d{}", n % 3).into(),
+            caller: peer,
+            peer,
+            incarnation: 1,
+            version: 1,
+        };
+        view.vms.insert(name.clone(), vm);
+        view.witnesses.current.push(name);
+        listeners.push(listener);
+    }
+    view.customers.insert("c".into(), customer());
+    let view = Arc::new(view);
+    listeners
+        .into_iter()
+        .enumerate()
+        .map(|(n, l)| member(n, l, &view))
+        .collect()
+}
+
+fn member(n: usize, listener: TcpListener, view: &Arc<View>) -> Member {
+    let me = VmName::from(format!("vm{n}"));
+    let secret = Secret::new("a secret of the test fleet");
+    let config = Arc::new(Fixed(Mutex::new(Arc::clone(view))));
+    let alive = Arc::new(All(view.vms.keys().cloned().collect()));
+    let timer = Timer::spawn();
+    let limits = FleetLimits::spawn(me.clone(), 1, secret.clone(), Arc::clone(&config), alive, &timer);
+    let claims = FleetClaims::spawn(me.clone(), 1, true, secret.clone(), Arc::clone(&config), &timer);
+    let quarantine = FleetQuarantine::spawn(me, 1, secret.clone(), config);
+    let mut module = RpcModule::new(());
+    limits.register(&mut module).unwrap();
+    claims.register(&mut module).unwrap();
+    quarantine.register(&mut module).unwrap();
+    let server = Server::new(module, secret);
+    task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(Ok(stream)) = incoming.next().await {
+            let server = server.clone();
+            task::spawn(async move {
+                let answer = |request| {
+                    let server = server.clone();
+                    async move { Ok(server.respond(request).await) }
+                };
+                let _ = async_h1::accept(stream, answer).await;
+            });
+        }
+    });
+    Member {
+        limits,
+        claims,
+        quarantine,
+        _timer: timer,
+    }
+}
+
+/// Waits until the condition holds.
+pub async fn until(limit: Duration, condition: impl Fn() -> bool) {
+    let end = Instant::now() + limit;
+    while !condition() {
+        assert!(
+            Instant::now() < end,
+            "the condition did not hold within {limit:?}"
+        );
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
