--- /dev/null
+++ b/tests/limit_failpoints.rs
@@ -0,0 +1,217 @@
+//! Guards against wrong results when one step of a claim or a grant fails or is delayed.
+//! Run with `--features failpoints`.
+#![cfg(feature = "failpoints")]
+
+#[path = "support/local_fleet.rs"]
+mod local_fleet;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use fail::FailScenario;
+use local_fleet::Member;
+use local_fleet::customer;
+use local_fleet::fleet;
+use local_fleet::until;
+use zinnialoom::claims::Ticket;
+use zinnialoom::code::Code;
+use zinnialoom::error::Result;
+use zinnialoom::lease::PARTITIONS;
+use zinnialoom::stage::ClaimAsk;
+use zinnialoom::stage::Claimed;
+use zinnialoom::stage::Claims;
+use zinnialoom::stage::Ending;
+use zinnialoom::stage::Limits;
+use zinnialoom::stage::Quarantine;
+
+async fn claim(vm: &Member, request: &str) -> Result<Claimed<Ticket>> {
+    let ask = ClaimAsk {
+        customer: "c".into(),
+        request: request.into(),
+        digest: "d".into(),
+    };
+    vm.claims
+        .claim(&ask, Instant::now() + Duration::from_secs(5))
+        .await
+}
+
+async fn run(vm: &Member, request: &str) -> Ticket {
+    match claim(vm, request).await {
+        Ok(Claimed::Run(ticket)) => ticket,
+        other => panic!("the claim gave {other:?}"),
+    }
+}
+
+fn code<T>(result: Result<T>) -> Option<Code> {
+    result.err().map(|e| e.code)
+}
+
+async fn settled() -> Vec<Member> {
+    let vms = fleet(5).await;
+    until(Duration::from_secs(10), || {
+        vms.iter().all(|v| v.claims.is_settled())
+    })
+    .await;
+    vms
+}
+
+async fn leased() -> Vec<Member> {
+    let vms = fleet(4).await;
+    let held = || vms.iter().map(|v| v.limits.held()).sum::<usize>() == PARTITIONS as usize;
+    until(Duration::from_secs(15), held).await;
+    vms
+}
+
+/// One scenario at a time: failpoints belong to the process.
+fn scenario(test: impl Future<Output = ()>) {
+    let scenario = FailScenario::setup();
+    task::block_on(test);
+    scenario.teardown();
+}
+
+#[test]
+fn a_minority_of_puts_may_fail() {
+    scenario(async {
+        let vms = settled().await;
+        fail::cfg("claim.send_put", "2*return->off").unwrap();
+        let ticket = run(&vms[0], "a").await;
+        assert_eq!(code(claim(&vms[1], "a").await), Some(Code::InProgress));
+        vms[0].claims.finish(ticket, Ending::Unknown).await;
+        assert_eq!(code(claim(&vms[1], "a").await), Some(Code::OutcomeUnknown));
+    });
+}
+
+#[test]
+fn without_a_majority_nothing_runs_and_a_later_try_may() {
+    scenario(async {
+        let vms = settled().await;
+        // Three rounds with three lost puts each.
+        fail::cfg("claim.put", "return").unwrap();
+        assert_eq!(code(claim(&vms[0], "b").await), Some(Code::ClaimUnavailable));
+        fail::remove("claim.put");
+        fail::cfg(
+            "claim.send_put",
+            "3*return->2*off->3*return->2*off->3*return->off",
+        )
+        .unwrap();
+        assert_eq!(code(claim(&vms[0], "b").await), Some(Code::ClaimUnavailable));
+        fail::remove("claim.send_put");
+        task::sleep(Duration::from_millis(100)).await;
+        run(&vms[1], "b").await;
+    });
+}
+
+#[test]
+fn a_coordinator_that_pauses_after_the_majority_must_not_send() {
+    scenario(async {
+        let vms = settled().await;
+        fail::cfg("claim.majority", "sleep(1100)").unwrap();
+        let ticket = run(&vms[0], "c").await;
+        assert!(!vms[0].claims.is_valid(&ticket, Instant::now()));
+        fail::remove("claim.majority");
+        vms[0].claims.finish(ticket, Ending::NotRun).await;
+        run(&vms[1], "c").await;
+    });
+}
+
+#[test]
+fn a_lost_ending_leaves_the_claim_taken() {
+    scenario(async {
+        let vms = settled().await;
+        for step in ["claim.before_finish", "claim.before_release"] {
+            fail::cfg(step, "return").unwrap();
+            let ticket = run(&vms[0], step).await;
+            let ending = match step {
+                "claim.before_finish" => Ending::Unknown,
+                _ => Ending::NotRun,
+            };
+            vms[0].claims.finish(ticket, ending).await;
+            assert_eq!(code(claim(&vms[1], step).await), Some(Code::InProgress));
+        }
+    });
+}
+
+#[test]
+fn a_holder_that_cannot_copy_does_not_answer() {
+    scenario(async {
+        fail::cfg("claim.copied", "return").unwrap();
+        let vms = fleet(5).await;
+        task::sleep(Duration::from_millis(500)).await;
+        assert_eq!(code(claim(&vms[0], "d").await), Some(Code::ClaimUnavailable));
+        fail::remove("claim.copied");
+        until(Duration::from_secs(10), || {
+            vms.iter().all(|v| v.claims.is_settled())
+        })
+        .await;
+        run(&vms[0], "d").await;
+    });
+}
+
+/// Takes tokens for a while on all VMs and compares with the bound.
+async fn take(vms: &[Member], time: Duration) -> (f64, f64) {
+    let start = Instant::now();
+    let mut taken = 0;
+    while start.elapsed() < time {
+        let end = Instant::now() + Duration::from_secs(1);
+        let takes = vms
+            .iter()
+            .map(|vm| async move { vm.limits.take(&customer(), end).await.is_ok() });
+        taken += futures::future::join_all(takes)
+            .await
+            .into_iter()
+            .filter(|t| *t)
+            .count();
+    }
+    let limit = customer().limit;
+    let bound = f64::from(limit.burst) + f64::from(limit.rate) * start.elapsed().as_secs_f64();
+    (taken as f64, bound)
+}
+
+#[test]
+fn lost_asks_and_grants_never_exceed_the_bound() {
+    scenario(async {
+        let vms = leased().await;
+        for step in ["grant.send", "grant.receive"] {
+            fail::cfg(step, "40%return").unwrap();
+            let (taken, bound) = take(&vms, Duration::from_secs(2)).await;
+            fail::remove(step);
+            assert!(taken <= bound, "{step}: {taken} of {bound}");
+            assert!(taken > 0.0, "{step}: nothing was admitted");
+        }
+        fail::cfg("grant.answer", "20%sleep(300)->off").unwrap();
+        let (taken, bound) = take(&vms, Duration::from_secs(2)).await;
+        assert!(taken <= bound, "grant.answer: {taken} of {bound}");
+    });
+}
+
+#[test]
+fn a_holder_without_replies_loses_its_leases() {
+    scenario(async {
+        let vms = leased().await;
+        fail::cfg("lease.reply", "return").unwrap();
+        until(Duration::from_secs(6), || {
+            vms.iter().all(|v| v.limits.held() == 0)
+        })
+        .await;
+        let end = Instant::now() + Duration::from_secs(1);
+        task::sleep(Duration::from_secs(2)).await;
+        let refused = vms[0]
+            .limits
+            .take(&customer(), end + Duration::from_secs(3))
+            .await;
+        assert_eq!(code(refused), Some(Code::OverRate));
+    });
+}
+
+#[test]
+fn a_crash_that_is_not_reported_counts_on_its_own_vm() {
+    scenario(async {
+        let vms = fleet(3).await;
+        fail::cfg("quarantine.report", "return").unwrap();
+        vms[0].quarantine.report("f").await;
+        vms[0].quarantine.report("f").await;
+        assert!(vms[0].quarantine.is_blocked("f", Instant::now()));
+        assert!(!vms[1].quarantine.is_blocked("f", Instant::now()));
+    });
+}
