Let the limit of a call between replicas grow with its size

Ten election timeouts for every message with entries would have stalled a follower for that long when its connection goes silent, and with it the commits of a group of three that has lost another replica. The limit is now one election timeout plus the time of the data at 100 kB/s, and two such calls run at a time. The rate is an assumption, not measured; no test covers a silent connection between replicas yet.

--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -230,6 +230,21 @@
     },
 }
 
+impl Message {
+    /// Size of the data in it when encoded, in bytes.
+    pub fn size(&self) -> usize {
+        let data = match self {
+            Message::Append { entries, .. } => entries.iter().map(Entry::size).sum(),
+            Message::Chunk { data, .. } => data.len(),
+            _ => 0,
+        };
+        data * HEX_FACTOR
+    }
+}
+
+/// Characters for one byte in hexadecimal text.
+const HEX_FACTOR: usize = 2;
+
 /// JSON has no bytes; hexadecimal text is half the size of a list of numbers.
 mod hex_bytes {
     use std::borrow::Cow;
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -53,9 +53,12 @@
 const SMALL_CALLS: usize = 3;
 /// The core repeats messages with entries that are not answered; one in the queue is enough.
 const LARGE_QUEUE: usize = 1;
-/// A call with entries or a part of a snapshot may take this many election timeouts. With one, a batch
-/// that is too large for a slow link was broken off and sent again without end.
-const LARGE_ELECTIONS: u32 = 10;
+/// Calls with entries or parts of snapshots to one peer at a time: one can be stuck in a connection that
+/// went silent.
+const LARGE_CALLS: usize = 2;
+/// Slowest link that is expected, in bytes a second. The limit of a call grows with its size; with a
+/// fixed one, a batch too large for a slow link was broken off and sent again without end.
+const LINK_RATE: usize = 100_000;
 /// The core gets several ticks per heartbeat, so that its timeouts are kept exactly enough.
 const TICKS_PER_BEAT: u32 = 4;
 /// A proposal is answered within this many election timeouts: enough for the old leader to be given
@@ -282,7 +285,9 @@
         for _ in 0..SMALL_CALLS {
             task::spawn(deliver(Arc::clone(&client), small_queue.clone(), election));
         }
-        task::spawn(deliver(client, large_queue, election * LARGE_ELECTIONS));
+        for _ in 0..LARGE_CALLS {
+            task::spawn(deliver(Arc::clone(&client), large_queue.clone(), election));
+        }
         Self { small, large }
     }
 
@@ -294,8 +299,10 @@
     }
 }
 
-async fn deliver(client: Arc<Client>, receiver: Receiver<Envelope>, limit: Duration) {
+async fn deliver(client: Arc<Client>, receiver: Receiver<Envelope>, election: Duration) {
     while let Ok(envelope) = receiver.recv().await {
+        let transfer = envelope.body.size() as f64 / LINK_RATE as f64;
+        let limit = election + Duration::from_secs_f64(transfer);
         // The core sends again what is not answered, so a failed call needs no retry here.
         let _ = client.call::<_, Value>(METHOD, &envelope, limit).await;
     }
