Add gauges of the entry process; drop evidence that no arbiter took

Evidence that waited for an arbiter would count as new when one answers, so an upstream that has healed could be ejected for its past. A signal during the start now ends the process at once.

--- a/examples/detect_bench/main.rs
+++ b/examples/detect_bench/main.rs
@@ -1,14 +1,15 @@
 //! Detection time and false ejections by kind of fault, in virtual time, against two baselines.
 
 mod policy;
+mod shape;
 mod world;
 
 use policy::Rule;
-use world::Fault;
-use world::FaultKind;
-use world::Micros;
-use world::SECOND;
-use world::Shape;
+use shape::Fault;
+use shape::FaultKind;
+use shape::Micros;
+use shape::SECOND;
+use shape::Shape;
 use world::World;
 
 const FAULT_START: Micros = 60 * SECOND;
--- a/src/bin/zinnia-entry/app.rs
+++ b/src/bin/zinnia-entry/app.rs
@@ -5,6 +5,8 @@
 use argh::FromArgs;
 use async_std::task;
 use futures::StreamExt;
+use futures::future::Either;
+use futures::future::select;
 use log::info;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
@@ -85,7 +87,12 @@
 
 async fn serve(settings: &EntrySettings, secret: Secret) -> Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| Error::io("signals", &e))?;
-    let entry = Entry::open(settings, secret).await?;
+    // The start waits for control for some seconds; a signal ends that wait too.
+    let open = Box::pin(Entry::open(settings, secret));
+    let entry = match select(open, signals.next()).await {
+        Either::Left((entry, _)) => entry?,
+        Either::Right(_) => return Ok(()),
+    };
     info!(
         "entry VM {} answers callers on {}",
         settings.common.vm,
--- a/src/detect.rs
+++ b/src/detect.rs
@@ -43,6 +43,8 @@
 const OWN_ERRORS: f64 = 3.0;
 const OWN_EVIDENCE: f64 = 2.0;
 const SPREAD_LEAST: f64 = 0.3;
+/// Evidence that no arbiter took for this long is dropped, because it would count as new later.
+const UNSENT_AGE: Duration = Duration::from_secs(3);
 
 /// Sum of scores.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -177,6 +179,7 @@
     cells: BTreeMap<UpstreamId, Cells>,
     unsent: BTreeMap<UpstreamId, Tally>,
     errors: HashMap<UpstreamId, f64>,
+    unsent_since: Option<Instant>,
     urgent: bool,
     changed: bool,
 }
@@ -279,6 +282,7 @@
     /// Evidence that was not yet sent to the arbiter.
     pub fn take_unsent(&mut self) -> Vec<(UpstreamId, Tally)> {
         self.urgent = false;
+        self.unsent_since = None;
         std::mem::take(&mut self.unsent).into_iter().collect()
     }
 
@@ -330,6 +334,11 @@
         let mut tally = Tally::default();
         tally.add(score);
         self.cells.entry(upstream.clone()).or_default().add(now, &tally);
+        let since = *self.unsent_since.get_or_insert(now);
+        if now.saturating_duration_since(since) > UNSENT_AGE {
+            self.unsent.clear();
+            self.unsent_since = Some(now);
+        }
         self.unsent.entry(upstream.clone()).or_default().merge(&tally);
         self.urgent = self.urgent || score > HIGH_SCORE;
         self.changed = true;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,5 +1,6 @@
 //! Wires the services of an entry process together.
 
+mod gauges;
 mod ports;
 
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 use crate::claims::FleetClaims;
 use crate::clients::Clients;
 use crate::crashes::FleetQuarantine;
+use crate::entry::gauges::Gauges;
 use crate::entry::ports::AddressBook;
 use crate::entry::ports::PeerPort;
 use crate::error::Result;
@@ -30,6 +32,7 @@
 use crate::http;
 use crate::http::Running;
 use crate::id::Incarnation;
+use crate::job::Jobs;
 use crate::kernel::Kernel;
 use crate::limits::FleetLimits;
 use crate::proxy::Parts;
@@ -44,6 +47,7 @@
 
 /// Open connections of other processes and upstreams at most.
 const PEER_CONNECTIONS: usize = 2_000;
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
 /// How long the start waits for control to say which run of this VM registered last.
 const EARLIER_LIMIT: Duration = Duration::from_secs(5);
 /// How long a stop waits for requests after the address time to live; the longest request limit of
@@ -72,6 +76,7 @@
     proxy: Proxy<EntryStages>,
     caller: Running,
     peer: Running,
+    jobs: Jobs,
     ttl: Duration,
     limit: Duration,
 }
@@ -129,6 +134,17 @@
             &timer,
         ))?;
 
+        let gauges = Gauges::register(prometheus::default_registry())?;
+        let jobs = Jobs::default();
+        let ticks = timer.subscribe(GAUGE_PERIOD);
+        let (seen_feed, seen_members, seen_chooser) =
+            (Arc::clone(&feed), Arc::clone(&members), Arc::clone(&chooser));
+        jobs.spawn(async move {
+            while ticks.next().await.is_some() {
+                gauges.update(&seen_feed, &seen_members, seen_chooser.in_flight());
+            }
+        });
+
         let mut module = RpcModule::new(());
         feed.register(&mut module)?;
         members.register(&mut module)?;
@@ -165,6 +181,7 @@
             proxy,
             caller,
             peer,
+            jobs,
             ttl: settings.address_ttl,
             limit: settings.request_limit + STOP_LIMIT,
         })
@@ -190,6 +207,7 @@
             );
         }
         self.peer.stop(STOP_LIMIT).await;
+        self.jobs.stop().await;
         self.kernel.stop().await;
         event::record(Kind::Stopped, About::default());
         info!("stopped");
--- a/tests/detection.rs
+++ b/tests/detection.rs
@@ -2,19 +2,21 @@
 
 #[path = "../examples/detect_bench/policy.rs"]
 mod policy;
+#[path = "../examples/detect_bench/shape.rs"]
+mod shape;
 #[path = "../examples/detect_bench/world.rs"]
 mod world;
 
 use std::ops::RangeInclusive;
 
 use policy::Rule;
-use world::Fault;
-use world::FaultKind;
-use world::Micros;
-use world::Report;
-use world::SECOND;
-use world::Shape;
-use world::VmFault;
+use shape::Fault;
+use shape::FaultKind;
+use shape::Micros;
+use shape::Report;
+use shape::SECOND;
+use shape::Shape;
+use shape::VmFault;
 use world::World;
 
 const START: Micros = 40 * SECOND;
