Make holders that start without a configuration copy first

Cause: found by review. A VM that started before it had a configuration took the empty registry as the one before and answered without copying; after 120 s it also counted as a cold start although it had asked nobody.

--- a/src/claim/copy.rs
+++ b/src/claim/copy.rs
@@ -150,6 +150,13 @@
             self.previous.remove(0);
         }
         let old = std::mem::replace(&mut self.registry, Arc::clone(registry));
+        if !old.contains(&self.me) {
+            // The VM was not registered yet, or started before it had a configuration.
+            self.previous.push(Previous {
+                registry: Arc::new(registry.without(&self.me)),
+                since: now,
+            });
+        }
         self.previous.push(Previous {
             registry: old,
             since: now,
@@ -216,6 +223,10 @@
         if now >= self.started + RETENTION {
             return true;
         }
+        // Without a configuration nobody was asked yet.
+        if !self.registry.contains(&self.me) {
+            return false;
+        }
         let others = self.registry.names().filter(|v| **v != self.me);
         let missing: Vec<_> = others.filter(|v| !self.done.contains(*v)).collect();
         let holders = self.registry.names().count().min(HOLDERS);
--- a/tests/claim_rules.rs
+++ b/tests/claim_rules.rs
@@ -265,3 +265,17 @@
     one.copied(later, &from, &ask, &page);
     assert!(one.is_settled());
 }
+
+/// A VM that starts while control is unreachable gets its configuration late.
+#[test]
+fn a_holder_without_configuration_copies_once_it_has_one() {
+    let (now, none, all) = (Instant::now(), registry(0), registry(3));
+    let later = now + Duration::from_secs(200);
+    for lost in [false, true] {
+        let mut one = holder(now, "vm0", lost, &none, Bounds::default());
+        one.tick(later);
+        one.set_registry(later, &all);
+        assert_eq!(one.put(later, &claim("r", 1, &all)), Put::Copying, "lost: {lost}");
+        assert!(!one.is_settled(), "lost: {lost}");
+    }
+}
