--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -306,3 +306,17 @@
         }
     }
 }
+
+/// A restarted witness has lost what it acknowledged: its own vote must not complete a majority.
+#[test]
+fn a_restarted_witness_needs_a_majority_of_the_others() {
+    let now = Instant::now();
+    let mut vm = Freshness::new(name(0));
+    vm.hold(5, group(&[0, 1, 2, 3, 4]), now);
+    vm.witness_answered(&name(1), now, 5, now);
+    vm.witness_answered(&name(2), now, 5, now);
+    assert!(!vm.is_fresh(now) && vm.answer().is_none());
+    vm.witness_answered(&name(3), now, 5, now);
+    assert!(vm.is_fresh(now));
+    assert_eq!(vm.answer(), Some(5));
+}
