--- a/tests/claim_rules.rs
+++ b/tests/claim_rules.rs
@@ -230,12 +230,12 @@
     assert!(third.is_settled());
     assert_eq!(third.len(), 1_201);
     assert_eq!(third.put(later, &claim("new", 1, &registry)), Put::Granted);
-    third.release(later, &release(&claim("split", 2, &registry)));
+    third.release(later, &release(&claim("split", 1, &registry)));
     assert!(matches!(
         third.put(later, &claim("split", 3, &registry)),
         Put::Held { .. }
     ));
-    third.release(later, &release(&claim("split", 1, &registry)));
+    third.release(later, &release(&claim("split", 2, &registry)));
     assert_eq!(third.put(later, &claim("split", 3, &registry)), Put::Granted);
 }
 
--- a/tests/limit_rules.rs
+++ b/tests/limit_rules.rs
@@ -14,6 +14,7 @@
 use zinnialoom::lease::Holder;
 use zinnialoom::lease::LEASE;
 use zinnialoom::lease::Lease;
+use zinnialoom::lease::LeaseReply;
 use zinnialoom::lease::LeaseRequest;
 use zinnialoom::lease::Placement;
 use zinnialoom::lease::Verdict;
@@ -109,6 +110,14 @@
         verdict(&mut witness, now, &request("a", 1, &other, true)),
         Verdict::Granted
     );
+    // Nor does a joint group let it skip the wait if it did not follow the old group.
+    let joint = group(&["x", "v", "w"], &["m", "n", "o"]);
+    let later = now + LEASE * 2;
+    witness.set_group(later, &joint);
+    assert_eq!(
+        verdict(&mut witness, later, &request("b", 1, &joint, false)),
+        Verdict::Quiet
+    );
     // A step to joint groups needs no wait, the step out of it does.
     let mut witness = Witness::new(start);
     witness.set_group(start, &old);
@@ -149,8 +158,19 @@
     let lease = reply(&mut holder, SECOND, "q").unwrap();
     assert_eq!(lease.end, now + LEASE * 98 / 100);
     assert_eq!(lease.since, now + SECOND);
-    // A majority that answers after the end gives a new lease, not a longer one.
     assert_eq!(holder.held(now + LEASE * 98 / 100, 0), None);
+    // A majority that answers after the end gives a new lease, not a longer one.
+    let later = now + LEASE * 99 / 100;
+    holder.reply(
+        later,
+        &"x".into(),
+        &LeaseReply {
+            incarnation: 1,
+            number: 1,
+            verdicts: vec![(0, Verdict::Granted)],
+        },
+    );
+    assert_eq!(holder.held(later, 0), None);
 }
 
 #[test]
