Say LimitUnavailable when no VM grants tokens; check freshness before the view

A caller was told OverRate, and so to slow down, for about 5 s after a cold start of the fleet, when no share had an owner. OverRate now needs an owner's answer in the last second. The check before each send read the view before the freshness, so a process paused in between could send by the old view (found by review, no test).

--- a/src/code.rs
+++ b/src/code.rs
@@ -93,6 +93,8 @@
     BadVersion = 124,
     #[strum(message = "an expectation other than 100-continue")]
     BadExpect = 125,
+    #[strum(message = "no VM grants tokens of the customer at the moment")]
+    LimitUnavailable = 126,
 
     #[strum(message = "the request was sent and its outcome is unknown")]
     OutcomeUnknown = 201,
--- a/src/grant/account.rs
+++ b/src/grant/account.rs
@@ -28,6 +28,9 @@
 const HEDGE: Duration = Duration::from_millis(40);
 /// An ask without an answer for this long is given up, and the share is left alone for a while.
 const ASK_LIMIT: Duration = Duration::from_millis(250);
+/// Without an answer of an owner for this long, a refusal does not blame the customer's rate: waiting
+/// requests ask several times in this time.
+const OWNER_RECENT: Duration = Duration::from_secs(1);
 const SILENT_PAUSE: Duration = Duration::from_millis(500);
 /// Accounts without tokens and requests for this long are forgotten.
 const IDLE: Duration = Duration::from_secs(10);
@@ -66,6 +69,8 @@
 }
 
 pub(crate) struct Account {
+    /// Last answer of a VM that held the lease of a share.
+    pub(crate) answered: Option<Instant>,
     pub(crate) limit: Limit,
     pub(crate) version: Version,
     /// Requests per second, an exponential average.
@@ -84,6 +89,7 @@
         let hash = rendezvous::hash(&[spender.as_bytes(), customer.id.as_bytes()]);
         let count = u64::from(share_count(customer.limit));
         Self {
+            answered: None,
             limit: customer.limit,
             version: customer.version,
             demand: 0.0,
@@ -168,6 +174,12 @@
         served
     }
 
+    /// Whether an owner of a share answered a short time ago.
+    pub(crate) fn has_owner(&self, now: Instant) -> bool {
+        self.answered
+            .is_some_and(|at| now.saturating_duration_since(at) < OWNER_RECENT)
+    }
+
     pub(crate) fn expire(&mut self, now: Instant) {
         self.held.retain(|h| h.end > now);
         self.waiting.retain(|(_, deadline)| *deadline > now);
--- a/src/grant/wallet.rs
+++ b/src/grant/wallet.rs
@@ -91,6 +91,11 @@
         account.waiting.len() < before
     }
 
+    /// Whether a refusal can be put down to the customer's rate.
+    pub fn has_owner(&self, now: Instant, customer: &CustomerId) -> bool {
+        self.accounts.get(customer).is_some_and(|a| a.has_owner(now))
+    }
+
     /// Takes an answer and returns the waiting requests that got a token.
     ///
     /// Only the first answer to a pending ask counts. Its life runs from when the ask was sent.
@@ -108,6 +113,10 @@
             return Vec::new();
         };
         share.pending = None;
+        // A VM without the lease answers with no life.
+        if grant.life_us > 0 {
+            account.answered = Some(now);
+        }
         share.quiet_until = (grant.retry_us > 0).then(|| now + Duration::from_micros(grant.retry_us));
         if grant.tokens == 0 || account.is_outdated(grant.limit, grant.version) {
             return Vec::new();
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -172,7 +172,7 @@
         Inner::send(&self.inner, asks);
         let (ticket, mut receiver) = match spend {
             Waiting::Taken => return Ok(()),
-            Waiting::Refused => return Err(Code::OverRate.into()),
+            Waiting::Refused => return Err(self.inner.refusal(&customer.id)),
             Waiting::Ticket(ticket, receiver) => (ticket, receiver),
         };
         let wait = deadline.saturating_duration_since(now);
@@ -183,7 +183,7 @@
         }
         // The token may have come between the timeout and this point.
         if self.inner.cancel(&customer.id, ticket) {
-            return Err(Code::OverRate.into());
+            return Err(self.inner.refusal(&customer.id));
         }
         Ok(())
     }
@@ -220,6 +220,22 @@
         (waiting, asks)
     }
 
+    /// The error of a request without a token: a caller may retry at once elsewhere unless it is over
+    /// its rate.
+    fn refusal(&self, customer: &CustomerId) -> Error {
+        let has_owner = self
+            .spending
+            .lock()
+            .unwrap()
+            .wallet
+            .has_owner(Instant::now(), customer);
+        if has_owner {
+            Code::OverRate.into()
+        } else {
+            Code::LimitUnavailable.into()
+        }
+    }
+
     /// Whether the request had no token yet; it gets none after this.
     fn cancel(&self, customer: &CustomerId, ticket: Ticket) -> bool {
         let mut spending = self.spending.lock().unwrap();
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -368,11 +368,12 @@
     /// Checks again, just before a request is sent, that its key is valid.
     fn check_key(&self, job: &Job) -> Result<()> {
         let Some(digest) = &job.key else { return Ok(()) };
-        key::customer(&self.parts.config.view(), digest)?;
+        // The view is read after the check, so that a process that was paused in between cannot send
+        // by the view that it held before the pause.
         if !self.parts.config.is_fresh(Instant::now()) {
             return Err(Code::ConfigStale.into());
         }
-        Ok(())
+        key::customer(&self.parts.config.view(), digest).map(drop)
     }
 
     /// Runs an admitted request until there is an answer or the caller has left.
--- a/src/stage.rs
+++ b/src/stage.rs
@@ -35,7 +35,7 @@
     /// Takes one token, waiting for it until the deadline at most.
     ///
     /// # Errors
-    /// `OverRate` if there is none.
+    /// `OverRate` if there is none, `LimitUnavailable` if no VM grants tokens at the moment.
     fn take(&self, customer: &Customer, deadline: Instant) -> impl Future<Output = Result<()>> + Send;
 }
 
