--- a/examples/capacity/fleet.rs
+++ b/examples/capacity/fleet.rs
@@ -139,6 +139,8 @@
         let address = listener.local_addr().expect("a bound address");
         task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                // Without this each answer waits for a delayed acknowledgement of 40 ms.
+                let _ = stream.set_nodelay(true);
                 let server = server.clone();
                 task::spawn(async move {
                     async_h1::accept(stream, |request| {
--- a/src/bin/zinnia-control/app.rs
+++ b/src/bin/zinnia-control/app.rs
@@ -3,13 +3,13 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use async_std::task;
 use futures::FutureExt;
 use futures::StreamExt;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook_async_std::Signals;
 
+use zinnialoom::cli;
 use zinnialoom::code::Code;
 use zinnialoom::control;
 use zinnialoom::control::Control;
@@ -42,30 +42,10 @@
 
 /// Runs the process and returns its exit code.
 pub fn run() -> i32 {
-    let words: Vec<String> = std::env::args().collect();
-    let words: Vec<&str> = words.iter().map(String::as_str).collect();
-    let (name, rest) = words.split_first().unwrap_or((&"zinnia-control", &[]));
-    let flags = match Flags::from_args(&[name], rest) {
-        Ok(flags) => flags,
-        Err(exit) if exit.status.is_ok() => {
-            println!("{}", exit.output);
-            return Code::Ok.exit();
-        }
-        Err(exit) => {
-            eprintln!("{}", exit.output);
-            return Code::BadParams.exit();
-        }
-    };
-    match task::block_on(execute(&flags)) {
-        Ok(()) => Code::Ok.exit(),
-        Err(e) => {
-            eprintln!("zinnia-control: {e}");
-            e.code.exit()
-        }
-    }
+    cli::run("zinnia-control", execute)
 }
 
-async fn execute(flags: &Flags) -> Result<()> {
+async fn execute(flags: Flags) -> Result<()> {
     if flags.version {
         println!("zinnia-control {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
--- a/src/bin/zinnia-events/app.rs
+++ b/src/bin/zinnia-events/app.rs
@@ -8,6 +8,7 @@
 
 use argh::FromArgs;
 
+use zinnialoom::cli;
 use zinnialoom::clock;
 use zinnialoom::code::Code;
 use zinnialoom::error::Error;
@@ -30,9 +31,10 @@
     error_code(0, "the time line was printed"),
     error_code(1, "a process could not be read; the events of the others were printed"),
     error_code(2, "wrong arguments, or an unreadable secret file"),
-    error_code(3, "a file could not be read or written")
+    error_code(3, "a file could not be read or written"),
+    error_code(4, "a file holds a line that is not an event")
 )]
-pub(crate) struct Args {
+struct Args {
     /// addresses of processes (control addresses and peer addresses of entry VMs), separated by commas
     #[argh(option, default = "String::new()")]
     process: String,
@@ -74,7 +76,12 @@
     json: bool,
 }
 
-pub(crate) async fn run(args: Args) -> Result<()> {
+/// Runs the program and returns its exit code.
+pub fn run() -> i32 {
+    cli::run("zinnia-events", execute)
+}
+
+async fn execute(args: Args) -> Result<()> {
     let mut events = Vec::new();
     for path in &args.file {
         events.extend(read_file(path)?);
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,39 @@
+//! What all programs do around their work: parse the command line, report the error, choose the exit code.
+
+use std::future::Future;
+
+use argh::FromArgs;
+use async_std::task;
+
+use crate::code::Code;
+use crate::error::Result;
+
+/// Parses the command line, runs the work and returns the exit code of the process.
+///
+/// Help goes to standard output; errors go to standard error with the name of the program.
+pub fn run<F, W>(name: &str, work: impl FnOnce(F) -> W) -> i32
+where
+    F: FromArgs,
+    W: Future<Output = Result<()>>,
+{
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let flags = match F::from_args(&[name], &words) {
+        Ok(flags) => flags,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return Code::Ok.exit();
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return Code::BadParams.exit();
+        }
+    };
+    match task::block_on(work(flags)) {
+        Ok(()) => Code::Ok.exit(),
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            error.code.exit()
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod claims;
+pub mod cli;
 pub mod clients;
 pub mod clock;
 pub mod code;
