--- a/tests/detection.rs
+++ b/tests/detection.rs
@@ -57,11 +57,10 @@
     report.sent[seconds].iter().map(|s| s[upstream]).sum()
 }
 
-/// An upstream that is ten times slower is ejected within 2 s at 100 requests a second, unless
-/// chance sends it fewer than 8 of the 10 requests that it gets in that time on average.
+/// Guards against an upstream that is ten times slower and stays longer than the 2 s that the users
+/// allow at 100 requests a second.
 #[test]
 fn a_slow_upstream_is_ejected_within_two_seconds() {
-    let mut late = 0;
     for seed in seeds(4) {
         let shape = Shape {
             length: START + 8 * SECOND,
@@ -73,17 +72,8 @@
         assert_eq!(report.ejections.len(), 1, "seed {seed}: {:?}", report.ejections);
         assert!(times[0] >= START, "seed {seed}: ejected before the fault");
         let took = times[0] - START;
-        let first = (START / SECOND) as usize;
-        let is_starved = sent(&report, 3, first..first + 2) < 8;
-        assert!(
-            took <= 2 * SECOND || is_starved,
-            "seed {seed}: {} ms",
-            took / 1000
-        );
-        assert!(took <= 5 * SECOND, "seed {seed}: {} ms", took / 1000);
-        late += u64::from(took > 2 * SECOND);
+        assert!(took <= 2 * SECOND, "seed {seed}: {} ms", took / 1000);
     }
-    assert!(late * 4 <= *seeds(4).end(), "{late} runs took more than 2 s");
 }
 
 /// Eight of 20 upstreams fail, but the floor allows five ejections; the arbiter fails in the middle.
