--- a/examples/capacity/requests.rs
+++ b/examples/capacity/requests.rs
@@ -37,6 +37,7 @@
         id,
         limit: Limit { rate: 30, burst: 60 },
         version: 1,
+        ..Customer::default()
     }
 }
 
--- a/examples/detect_bench/policy.rs
+++ b/examples/detect_bench/policy.rs
@@ -143,5 +143,6 @@
         upstream: format!("u{upstream:02}").into(),
         address: ([127, 0, 0, 1], 9000).into(),
         connections: 1,
+        reason: "policy",
     }
 }
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -17,6 +17,7 @@
 
 use crate::code::Code;
 use crate::code::Run;
+use crate::dialect::Dialect;
 use crate::error::Error;
 use crate::frame::Buffered;
 use crate::frame::Frame;
@@ -69,6 +70,9 @@
     response.set_content_type(mime::JSON);
     response.insert_header("zinnia-code", code.number().to_string());
     response.insert_header("zinnia-run", run.to_string());
+    if let Some(pause) = code.retry_after() {
+        response.insert_header("retry-after", format!("{:.3}", pause.as_secs_f64()));
+    }
     response
 }
 
@@ -83,6 +87,8 @@
     pub(crate) announced: Option<u64>,
     /// Whether the upstream closes the connection after this answer.
     pub(crate) close: bool,
+    /// How long the upstream keeps the connection open without a request, if it says so.
+    pub(crate) idle: Option<Duration>,
 }
 
 impl Reply {
@@ -93,8 +99,8 @@
     }
 
     /// Whether the upstream says that it did not run the request.
-    pub(crate) fn is_not_run(&self) -> bool {
-        self.status == StatusCode::ServiceUnavailable && self.header("x-not-run") == Some("1")
+    pub(crate) fn is_not_run(&self, dialect: &Dialect) -> bool {
+        dialect.is_not_run(self.status as u16, |name| self.header(name))
     }
 
     /// A response with this head; the caller sets the body.
@@ -202,6 +208,10 @@
     };
     let listed = tokens(&all, "connection");
     let close = parsed.version != Some(1) || listed.iter().any(|t| t == "close");
+    let idle = tokens(&all, "keep-alive")
+        .iter()
+        .find_map(|t| t.strip_prefix("timeout=")?.parse().ok())
+        .map(Duration::from_secs);
     all.retain(|(name, _)| {
         let name = name.as_str();
         // An upstream must not speak for the system; async-h1 writes the length of the body.
@@ -214,6 +224,7 @@
         framing,
         announced: length.filter(|_| bodiless),
         close,
+        idle,
     };
     Ok(Some((reply, used)))
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -296,6 +296,7 @@
             upstream: name.clone(),
             address: entry.announcement.address,
             connections: (connections as usize / self.vms).max(1),
+            reason: "balance",
         }
     }
 
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -6,6 +6,7 @@
 pub mod apply;
 pub mod change;
 pub mod delta;
+pub mod edition;
 mod memo;
 mod snapshot;
 pub mod witness;
@@ -19,9 +20,11 @@
 use crate::catalog::apply::Plan;
 use crate::catalog::change::Change;
 use crate::catalog::change::Fault;
+use crate::catalog::change::Op;
 use crate::catalog::change::Outcome;
 use crate::catalog::delta::Delta;
 use crate::catalog::delta::Edit;
+use crate::catalog::edition::Edition;
 use crate::catalog::memo::Memos;
 use crate::code::Code;
 use crate::error::Result;
@@ -50,6 +53,8 @@
     /// Changes after this version are in the tail.
     floor: Version,
     witness_version: Version,
+    /// The edition that replaced the records last, as it was given.
+    edition: Option<Arc<Edition>>,
 }
 
 impl Catalog {
@@ -82,6 +87,11 @@
         self.view.routes.iter().find(|r| r.id == *id)
     }
 
+    /// The edition that replaced the records last.
+    pub fn edition(&self) -> Option<Arc<Edition>> {
+        self.edition.clone()
+    }
+
     /// Version of the last change of the witness group.
     pub fn witness_version(&self) -> Version {
         self.witness_version
@@ -128,6 +138,9 @@
         };
         let security = plan.security;
         if !plan.edits.is_empty() {
+            if let Op::Replace(edition) = &change.op {
+                self.edition = Some(Arc::clone(edition));
+            }
             self.commit(index, plan);
         }
         Outcome {
--- a/src/catalog/apply.rs
+++ b/src/catalog/apply.rs
@@ -10,6 +10,7 @@
 use crate::catalog::change::RouteSpec;
 use crate::catalog::change::VmSpec;
 use crate::catalog::delta::Edit;
+use crate::catalog::edition::Edition;
 use crate::catalog::witness;
 use crate::code::Code;
 use crate::id::CustomerId;
@@ -17,11 +18,13 @@
 use crate::id::KeyId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
+use crate::id::UpstreamId;
 use crate::id::Version;
 use crate::id::VmName;
 use crate::settings::NAME_BYTES;
 use crate::settings::is_name;
 use crate::view::Customer;
+use crate::view::Departed;
 use crate::view::Key;
 use crate::view::Limit;
 use crate::view::Route;
@@ -134,6 +137,8 @@
             Op::VmJoin(spec) => self.join_vm(index, spec),
             Op::VmRemove { name, ended } => self.remove_vm(expect, name, *ended),
             Op::WitnessSettle { version } => self.settle_witnesses(*version),
+            Op::Replace(edition) => self.replace(index, edition),
+            Op::Depart { upstream, born } => Ok(self.depart(index, upstream, *born)),
         }
     }
 
@@ -148,6 +153,7 @@
             id: id.clone(),
             limit,
             version: index,
+            ..Customer::default()
         };
         Ok(Plan {
             security,
@@ -247,6 +253,7 @@
             require_id: spec.require_id,
             limit_ms: spec.limit_ms,
             version: index,
+            ..Route::default()
         };
         Ok(Plan {
             security: closes_old || closes_part,
@@ -288,6 +295,7 @@
             floor,
             join_digest,
             version: index,
+            ..ServiceRecord::default()
         })))
     }
 
@@ -295,7 +303,7 @@
         let old = self.view.services.get(id);
         let old = old.ok_or_else(|| missing("service", id))?;
         check_expect(expect, old.version)?;
-        if let Some(route) = self.view.routes.iter().find(|r| r.service == *id) {
+        if let Some(route) = self.view.routes.iter().find(|r| r.services().any(|s| s == id)) {
             let detail = format!("route \"{}\" leads to the service", route.id);
             return Err(Fault::new(Code::InUse, detail));
         }
@@ -388,6 +396,32 @@
         Ok(plan)
     }
 
+    /// Replaces all customers, keys, routes and services, unless the catalog holds an edition with this
+    /// number or a higher one.
+    fn replace(&self, index: Index, edition: &Edition) -> Planned {
+        if edition.number <= self.view.edition {
+            return Ok(Plan::default());
+        }
+        edition.check()?;
+        Ok(Plan {
+            edits: edition.edits(index, &self.view),
+            ..Plan::default()
+        })
+    }
+
+    /// Records that a run of an upstream leaves; recorded once, also when it is reported again.
+    fn depart(&self, index: Index, upstream: &UpstreamId, born: u64) -> Plan {
+        let is_known = |d: &Departed| d.upstream == *upstream && d.born >= born;
+        if self.view.departed.iter().any(is_known) {
+            return Plan::default();
+        }
+        Plan::of(Edit::Departed(Departed {
+            upstream: upstream.clone(),
+            born,
+            version: index,
+        }))
+    }
+
     fn settle_witnesses(&self, version: Version) -> Planned {
         if self.witness_version != version || self.view.witnesses.previous.is_empty() {
             return Ok(Plan::default());
--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -1,11 +1,13 @@
 //! Changes of the configuration and their outcomes, as they stand in the replicated log.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::catalog::edition::Edition;
 use crate::code::Code;
 use crate::id::ChangeId;
 use crate::id::CustomerId;
@@ -14,6 +16,7 @@
 use crate::id::KeyId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
+use crate::id::UpstreamId;
 use crate::id::Version;
 use crate::id::VmName;
 use crate::secret::digest;
@@ -146,12 +149,25 @@
         /// Version of the group change that a majority of both groups has acknowledged.
         version: Version,
     },
+    /// Replaces all customers, keys, routes and services; the number of the edition orders
+    /// replacements, `expect` is not used.
+    Replace(Arc<Edition>),
+    /// Records that an upstream leaves; `expect` is not used.
+    Depart {
+        /// Name of the upstream.
+        upstream: UpstreamId,
+        /// Start of the run that leaves, in milliseconds since 1970 by the upstream's clock.
+        born: u64,
+    },
 }
 
 impl Op {
     /// Whether the change comes from a process: it is idempotent by itself and its id is not kept.
     pub fn is_internal(&self) -> bool {
-        matches!(self, Op::VmJoin(_) | Op::WitnessSettle { .. })
+        matches!(
+            self,
+            Op::VmJoin(_) | Op::WitnessSettle { .. } | Op::Replace(_) | Op::Depart { .. }
+        )
     }
 
     /// The operation without values that the control process made at random, so that a resent call
--- a/src/catalog/delta.rs
+++ b/src/catalog/delta.rs
@@ -9,7 +9,9 @@
 use crate::id::ServiceId;
 use crate::id::Version;
 use crate::id::VmName;
+use crate::view::CallerLimits;
 use crate::view::Customer;
+use crate::view::Departed;
 use crate::view::Key;
 use crate::view::Route;
 use crate::view::ServiceRecord;
@@ -17,6 +19,9 @@
 use crate::view::Vm;
 use crate::view::Witnesses;
 
+/// Upstreams that left and are remembered: ten times what a day of releases on 400 upstreams removes.
+pub const DEPARTED_KEPT: usize = 4_000;
+
 /// A record that was set or removed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -43,6 +48,10 @@
     VmGone(VmName),
     /// The witness group changed.
     Witnesses(Witnesses),
+    /// All records were replaced by an edition with this number.
+    Edition(u64, CallerLimits),
+    /// An upstream leaves.
+    Departed(Departed),
 }
 
 /// The records that one change touched.
@@ -94,10 +103,24 @@
                 view.vms.remove(name);
             }
             Edit::Witnesses(witnesses) => view.witnesses = witnesses.clone(),
+            Edit::Edition(number, limits) => {
+                view.edition = *number;
+                view.limits = *limits;
+            }
+            Edit::Departed(departed) => depart(&mut view.departed, departed),
         }
     }
 }
 
+/// The oldest are forgotten; an upstream has long ended by then.
+fn depart(all: &mut Vec<Departed>, departed: &Departed) {
+    all.retain(|d| d.upstream != departed.upstream);
+    if all.len() >= DEPARTED_KEPT {
+        all.remove(0);
+    }
+    all.push(departed.clone());
+}
+
 /// Puts a route in its place.
 fn set_route(routes: &mut Vec<Route>, route: &Route) {
     routes.retain(|r| r.id != route.id);
--- a/src/catalog/snapshot.rs
+++ b/src/catalog/snapshot.rs
@@ -9,6 +9,7 @@
 
 use crate::catalog::Catalog;
 use crate::catalog::delta::Delta;
+use crate::catalog::edition::Edition;
 use crate::catalog::memo::Memo;
 use crate::catalog::memo::Memos;
 use crate::code::Code;
@@ -27,6 +28,8 @@
     tail: Cow<'a, VecDeque<Delta>>,
     floor: Version,
     witness_version: Version,
+    #[serde(default)]
+    edition: Option<Arc<Edition>>,
 }
 
 pub(super) fn encode(catalog: &Catalog) -> Vec<u8> {
@@ -37,6 +40,7 @@
         tail: Cow::Borrowed(&catalog.tail),
         floor: catalog.floor,
         witness_version: catalog.witness_version,
+        edition: catalog.edition.clone(),
     };
     // An empty snapshot in place of an error would lose the configuration at the next start.
     serde_json::to_vec(&stored).expect("the records have a JSON form")
@@ -61,5 +65,6 @@
         tail: stored.tail.into_owned(),
         floor: stored.floor,
         witness_version: stored.witness_version,
+        edition: stored.edition,
     })
 }
--- a/src/code.rs
+++ b/src/code.rs
@@ -1,5 +1,7 @@
 //! Numbered result codes; docs/CODES.md lists them and a test compares both.
 
+use std::time::Duration;
+
 use strum::Display;
 use strum::EnumIter;
 use strum::EnumMessage;
@@ -196,6 +198,23 @@
         }
     }
 
+    /// When a caller should come back, for refusals that another try may avoid.
+    pub fn retry_after(self) -> Option<Duration> {
+        let pause = match self {
+            // Another VM can serve the request at once.
+            Code::Stopping => 10,
+            // A few round trips: a new leader or another upstream is known by then.
+            Code::NoUpstream | Code::ConfigStale | Code::LimitUnavailable | Code::ClaimUnavailable => 250,
+            // About the time in which an upstream ends a request and frees a slot.
+            Code::Overloaded => 300,
+            // The buckets refill at the rate of the customer, which is some tens a second.
+            Code::OverRate => 500,
+            Code::Quarantined => 5_000,
+            _ => return None,
+        };
+        Some(Duration::from_millis(pause))
+    }
+
     /// Exit code of a process that ends with this code.
     pub fn exit(self) -> i32 {
         match self {
--- a/src/detect.rs
+++ b/src/detect.rs
@@ -200,7 +200,7 @@
             Attempt::Answered => false,
             Attempt::Failed | Attempt::Refused | Attempt::Cut | Attempt::Late => true,
             // A connection that dies in mid-request may be the fault of the request (section 5.3).
-            Attempt::Shed | Attempt::Died | Attempt::Cancelled => return,
+            Attempt::Shed | Attempt::Died | Attempt::Stale | Attempt::Cancelled => return,
         };
         self.changed = true;
         let score = self.score(sample, failed);
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,17 @@
+//! A fleet whose entry VMs follow the control VMs over one connection each.
+//!
+//! Control VMs know each other and the entry VMs that are connected to them. Over the connections
+//! travel the replicated log, the configuration, the announcements of upstreams, what requests showed
+//! about upstreams, token grants, and the list of entry VMs. The parts that decide are free of
+//! input and output: [`roster`], [`outlook`], [`steer`] and [`budget`].
+
+pub mod budget;
+pub mod entries;
+pub mod hub;
+pub mod link;
+pub mod message;
+pub mod node;
+pub mod outlook;
+pub mod roster;
+pub mod steer;
+pub mod uplink;
--- /dev/null
+++ b/src/fleet/steer.rs
@@ -0,0 +1,248 @@
+//! Core: which upstream gets a request.
+//!
+//! A request that may run once, and the second try of any request, goes to a sound upstream. One in
+//! four first tries of a request that may be repeated tests an upstream that is unknown or suspect.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use crate::fleet::outlook::Outlook;
+use crate::fleet::outlook::Standing;
+use crate::fleet::roster::Listed;
+use crate::fleet::roster::Roster;
+use crate::fleet::roster::State;
+use crate::id::DomainName;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+
+/// Share of the first tries of repeatable requests that test an upstream.
+const TEST_SHARE: f64 = 0.25;
+/// This VM tests the same upstream again after this pause at the earliest.
+const TEST_PAUSE: Duration = Duration::from_millis(500);
+/// All VMs leave an upstream alone for this time after a failure that any of them saw.
+const FAILED_PAUSE: Duration = Duration::from_millis(700);
+/// Pause after an upstream said that it is full, and after a connection could not be made.
+const SHED_PAUSE: Duration = Duration::from_millis(150);
+const REFUSED_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause after connections that could not be made, which doubles each time.
+const REFUSED_LONGEST: Duration = Duration::from_secs(6);
+/// Cost of an upstream in another failure domain, as a part of its slots: its bytes are paid for.
+const ABROAD: f32 = 0.4;
+/// Cost of an upstream that is slow after its start.
+const COLD: f32 = 0.5;
+/// Candidates that are compared.
+const CANDIDATES: usize = 3;
+
+/// What an upstream is wanted for.
+#[derive(Debug, Clone, Copy)]
+pub struct Want<'a> {
+    /// Service of the request.
+    pub service: &'a ServiceId,
+    /// Whether the request may be lost at the upstream, because it can be sent again.
+    pub may_test: bool,
+    /// Upstreams that were tried.
+    pub tried: &'a [UpstreamId],
+}
+
+/// The upstream that was chosen, and why.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The upstream.
+    pub listed: Listed,
+    /// Its standing at the choice.
+    pub standing: Standing,
+    /// Whether the request tests the upstream.
+    pub test: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Local {
+    flying: u32,
+    tested: Option<Instant>,
+    paused: Option<Instant>,
+    /// Connections in a row that could not be made.
+    refused: u32,
+}
+
+/// This VM's own knowledge about upstreams.
+#[derive(Debug)]
+pub struct Steer {
+    domain: DomainName,
+    locals: HashMap<UpstreamId, Local>,
+    /// Requests in flight of the other VMs, as they last told.
+    others: HashMap<UpstreamId, f32>,
+    rng: StdRng,
+}
+
+impl Steer {
+    /// Without knowledge, for a VM in a failure domain.
+    pub fn new(domain: DomainName, rng: StdRng) -> Self {
+        Self {
+            domain,
+            locals: HashMap::new(),
+            others: HashMap::new(),
+            rng,
+        }
+    }
+
+    /// Chooses an upstream; it counts as in flight until `end`.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        roster: &Roster,
+        outlook: &Outlook,
+        want: &Want<'_>,
+    ) -> Option<Choice> {
+        let listed: Vec<&Listed> = roster
+            .iter()
+            .filter(|l| l.report.service == *want.service && l.report.state == State::Ready)
+            .filter(|l| !want.tried.contains(&l.report.upstream))
+            .collect();
+        let open: Vec<&Listed> = listed
+            .iter()
+            .copied()
+            .filter(|l| !self.is_paused(now, &l.report.upstream))
+            .collect();
+        // A pause protects others from waiting; without another upstream it would only refuse.
+        let open = if open.is_empty() { listed } else { open };
+        let standing = |l: &Listed| outlook.standing(now, &l.report.upstream);
+        let first = want.may_test && want.tried.is_empty();
+        if first && self.rng.random_bool(TEST_SHARE) {
+            let due: Vec<&Listed> = open
+                .iter()
+                .copied()
+                .filter(|l| standing(l) != Standing::Sound && self.is_due(now, outlook, &l.report.upstream))
+                .collect();
+            if let Some(one) = self.any(&due) {
+                return Some(self.take(now, one, standing(one), true));
+            }
+        }
+        let best = open.iter().map(|l| standing(l)).max()?;
+        let top: Vec<&Listed> = open.iter().copied().filter(|l| standing(l) == best).collect();
+        let one = match best {
+            // Without a better one, the upstream whose failure is longest ago is the best guess.
+            Standing::Suspect => top
+                .into_iter()
+                .min_by_key(|l| (outlook.failed_at(&l.report.upstream), l.report.upstream.clone()))?,
+            _ => self.least(now, outlook, &top)?,
+        };
+        Some(self.take(now, one, best, false))
+    }
+
+    /// The upstream with the least cost among a few random ones, most of them of the own domain.
+    fn least<'a>(&mut self, now: Instant, outlook: &Outlook, top: &[&'a Listed]) -> Option<&'a Listed> {
+        let near: Vec<&Listed> = top
+            .iter()
+            .copied()
+            .filter(|l| l.report.domain == self.domain)
+            .collect();
+        let mut best: Option<(f32, &Listed)> = None;
+        for number in 0..CANDIDATES {
+            let from = match near.is_empty() || number + 1 == CANDIDATES {
+                true => top,
+                false => &near,
+            };
+            let one = self.any(from)?;
+            let cost = self.cost(now, outlook, one);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, one));
+            }
+        }
+        best.map(|(_, one)| one)
+    }
+
+    fn cost(&self, now: Instant, outlook: &Outlook, one: &Listed) -> f32 {
+        let id = &one.report.upstream;
+        let local = self.locals.get(id).map_or(0, |l| l.flying) as f32;
+        let others = self.others.get(id).copied().unwrap_or_default();
+        let load = (local + others) / one.report.slots.max(1) as f32;
+        let abroad = if one.report.domain == self.domain {
+            0.0
+        } else {
+            ABROAD
+        };
+        let cold = if one.is_cold(now) { COLD } else { 0.0 };
+        load + abroad + cold + outlook.doubt(id)
+    }
+
+    fn any<'a>(&mut self, from: &[&'a Listed]) -> Option<&'a Listed> {
+        if from.is_empty() {
+            return None;
+        }
+        Some(from[self.rng.random_range(0..from.len())])
+    }
+
+    fn take(&mut self, now: Instant, one: &Listed, standing: Standing, test: bool) -> Choice {
+        let local = self.locals.entry(one.report.upstream.clone()).or_default();
+        local.flying += 1;
+        if test {
+            local.tested = Some(now);
+        }
+        Choice {
+            listed: one.clone(),
+            standing,
+            test,
+        }
+    }
+
+    /// Ends a request that was counted by `choose`.
+    pub fn end(&mut self, id: &UpstreamId) {
+        if let Some(local) = self.locals.get_mut(id) {
+            local.flying = local.flying.saturating_sub(1);
+        }
+    }
+
+    /// Learns that a connection stood.
+    pub fn reached(&mut self, id: &UpstreamId) {
+        if let Some(local) = self.locals.get_mut(id) {
+            local.refused = 0;
+        }
+    }
+
+    /// Learns that the upstream is full.
+    pub fn shed(&mut self, now: Instant, id: &UpstreamId) {
+        self.locals.entry(id.clone()).or_default().paused = Some(now + SHED_PAUSE);
+    }
+
+    /// Learns that no connection could be made from this VM.
+    pub fn refuse(&mut self, now: Instant, id: &UpstreamId) {
+        let local = self.locals.entry(id.clone()).or_default();
+        let pause = REFUSED_PAUSE * 2_u32.saturating_pow(local.refused.min(8));
+        local.refused += 1;
+        local.paused = Some(now + pause.min(REFUSED_LONGEST));
+    }
+
+    /// Learns how many requests the other VMs have in flight.
+    pub fn set_others(&mut self, id: &UpstreamId, flying: f32) {
+        self.others.insert(id.clone(), flying);
+    }
+
+    /// Requests in flight from this VM, by upstream.
+    pub fn flying(&self) -> impl Iterator<Item = (&UpstreamId, u32)> {
+        self.locals.iter().map(|(id, l)| (id, l.flying))
+    }
+
+    /// Drops what is known about upstreams that are no longer listed.
+    pub fn retain(&mut self, is_listed: impl Fn(&UpstreamId) -> bool) {
+        self.locals.retain(|id, l| l.flying > 0 || is_listed(id));
+        self.others.retain(|id, _| is_listed(id));
+    }
+
+    fn is_paused(&self, now: Instant, id: &UpstreamId) -> bool {
+        let paused = self.locals.get(id).and_then(|l| l.paused);
+        paused.is_some_and(|until| now < until)
+    }
+
+    /// An upstream that failed a moment ago is left alone; one that succeeded after its last failure is
+    /// tested again soon.
+    fn is_due(&self, now: Instant, outlook: &Outlook, id: &UpstreamId) -> bool {
+        let is_over = |at: Instant, pause| now.saturating_duration_since(at) >= pause;
+        let tested = self.locals.get(id).and_then(|l| l.tested);
+        let failed = outlook.failed_at(id).filter(|_| outlook.streak(id) == 0);
+        tested.is_none_or(|at| is_over(at, TEST_PAUSE)) && failed.is_none_or(|at| is_over(at, FAILED_PAUSE))
+    }
+}
--- a/src/head.rs
+++ b/src/head.rs
@@ -39,6 +39,22 @@
     pub(crate) expects: bool,
 }
 
+/// The request target as the caller sent it; a parsed URL has normalised its path.
+pub(crate) struct Target(String);
+
+/// Path and query of a request as the caller sent them.
+pub(crate) fn raw_target(request: &Request) -> String {
+    let target = request.ext().get::<Target>().map(|t| t.0.as_str());
+    match target.filter(|t| t.starts_with('/')) {
+        Some(target) => target.to_owned(),
+        None => {
+            let url = request.url();
+            let query = url.query().map(|q| format!("?{q}")).unwrap_or_default();
+            url.path().to_owned() + &query
+        }
+    }
+}
+
 /// Reads one head within the time limit.
 ///
 /// # Errors
@@ -139,6 +155,9 @@
         method(parsed.method.unwrap_or_default())?,
         target(parsed.path.unwrap_or_default(), parsed.headers)?,
     );
+    request
+        .ext_mut()
+        .insert(Target(parsed.path.unwrap_or_default().to_owned()));
     request.set_version(Some(Version::Http1_1));
     for header in parsed.headers.iter() {
         request.append_header(header.name, value(header)?);
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,6 +1,14 @@
-//! Log set-up on fern: text or JSON lines on standard error.
+//! Log set-up on fern: text or JSON lines on standard error, or lines on standard output that never
+//! block the process.
 
 use std::io;
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::thread;
 
 use log::LevelFilter;
 
@@ -8,6 +16,7 @@
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::id::VmName;
 use crate::settings::Common;
 
 /// Starts logging for this process.
@@ -43,3 +52,76 @@
         .apply()
         .map_err(|e| Error::new(Code::Kernel, format!("log: {e}")))
 }
+
+/// Lines that wait for a slow reader of standard output; lines beyond are counted and left out.
+const QUEUE: usize = 1_024;
+/// Lines written at once.
+const BATCH_BYTES: usize = 16 << 10;
+
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that were left out because the reader of standard output was too slow.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
+/// Starts structured logging to standard output: one JSON object a line.
+///
+/// A thread of its own writes, and a full queue drops the line, so that logging never blocks.
+///
+/// # Errors
+/// `Kernel` if logging was started before or the thread cannot be started.
+pub fn open_lines(vm: &VmName) -> Result<()> {
+    let failed = |e: &dyn std::fmt::Display| Error::new(Code::Kernel, format!("log: {e}"));
+    let (queue, lines) = mpsc::sync_channel(QUEUE);
+    thread::Builder::new()
+        .name("log".into())
+        .spawn(move || write_lines(&lines))
+        .map_err(|e| failed(&e))?;
+    let vm = vm.clone();
+    fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("zinnialoom", LevelFilter::Info)
+        .level_for("zinnia_platform", LevelFilter::Info)
+        .format(move |out, message, record| {
+            let line = serde_json::json!({
+                "time_ms": clock::millis(clock::stamp()),
+                "level": record.level().as_str(),
+                "vm": vm,
+                "module": record.target(),
+                "message": message.to_string(),
+            });
+            out.finish(format_args!("{line}"));
+        })
+        .chain(fern::Output::call(move |record| {
+            push(&queue, record.args().to_string());
+        }))
+        .apply()
+        .map_err(|e| failed(&e))
+}
+
+fn push(queue: &SyncSender<String>, line: String) {
+    if queue.try_send(line).is_err() {
+        LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn write_lines(lines: &Receiver<String>) {
+    let mut told = 0;
+    while let Ok(first) = lines.recv() {
+        let mut batch = first + "\n";
+        while batch.len() < BATCH_BYTES
+            && let Ok(line) = lines.try_recv()
+        {
+            batch += &line;
+            batch.push('\n');
+        }
+        let left = left_out();
+        if left > told {
+            batch += &format!("{{\"left_out\":{left}}}\n");
+            told = left;
+        }
+        // Without a reader there is nobody to tell.
+        let _ = io::stdout().lock().write_all(batch.as_bytes());
+    }
+}
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -22,8 +22,11 @@
 
 /// Idle connections older than this are closed: a path may lose them silently.
 pub const IDLE_LIMIT: Duration = Duration::from_secs(15);
-/// Time in which a connection must open; a new connection takes about 1 ms inside a region.
-pub const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Time in which a connection must open: it takes about 1 ms inside a region, and a lost packet is
+/// sent again after a second, by which time another upstream has answered.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// How long before the upstream's own limit an idle connection is given up.
+const CLOSE_MARGIN: Duration = Duration::from_secs(1);
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
 /// Why there is no connection; nothing was sent.
@@ -56,7 +59,8 @@
 
 struct Idle {
     conn: Connection,
-    since: Instant,
+    /// When it is given up.
+    until: Instant,
 }
 
 type Hosts = Arc<Mutex<HashMap<SocketAddr, Host>>>;
@@ -148,7 +152,7 @@
     async fn reuse(&self, address: SocketAddr) -> Option<Connection> {
         loop {
             let idle = self.hosts.lock().unwrap().get_mut(&address)?.idle.pop()?;
-            if idle.since.elapsed() < IDLE_LIMIT && is_quiet(&idle.conn.stream).await {
+            if Instant::now() < idle.until && is_quiet(&idle.conn.stream).await {
                 return Some(idle.conn);
             }
         }
@@ -178,15 +182,19 @@
     }
 
     /// Keeps a connection whose last answer was read to its end.
-    pub(crate) fn keep(&self, mut conn: Connection) {
+    ///
+    /// `idle` is the time after which the upstream closes it. A request that is sent as the upstream
+    /// closes is lost, so the connection is given up [`CLOSE_MARGIN`] earlier.
+    pub(crate) fn keep(&self, mut conn: Connection, idle: Option<Duration>) {
         conn.reused = true;
+        let stated = idle.map(|i| i.saturating_sub(CLOSE_MARGIN));
+        let until = Instant::now() + stated.unwrap_or(IDLE_LIMIT).min(IDLE_LIMIT);
         loop {
             let next = {
                 let mut hosts = self.hosts.lock().unwrap();
                 let host = hosts.entry(conn.open.address).or_default();
                 let Some(next) = host.waiting.pop_front() else {
-                    let since = Instant::now();
-                    return host.idle.push(Idle { conn, since });
+                    return host.idle.push(Idle { conn, until });
                 };
                 next
             };
@@ -223,7 +231,7 @@
     let mut old = Vec::new();
     for host in hosts.lock().unwrap().values_mut() {
         let all = std::mem::take(&mut host.idle);
-        let is_old = |idle: &Idle| now.duration_since(idle.since) >= IDLE_LIMIT;
+        let is_old = |idle: &Idle| now >= idle.until;
         let (gone, kept): (Vec<_>, Vec<_>) = all.into_iter().partition(is_old);
         host.idle = kept;
         old.extend(gone);
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -18,6 +18,7 @@
 use futures::future::Either;
 use futures::future::select;
 use prometheus::Registry;
+use rand::Rng;
 use sha2::Digest;
 use sha2::Sha256;
 use smol_str::SmolStr;
@@ -27,12 +28,14 @@
 
 use crate::answer;
 use crate::code::Code;
+use crate::dialect::Dialect;
 use crate::error::Error;
 use crate::error::Result;
 use crate::head;
 use crate::http::Caller;
 use crate::http::Handler;
 use crate::id::RequestId;
+use crate::id::ServiceId;
 use crate::pool::Pool;
 use crate::settings::EntrySettings;
 use crate::stage::Chooser;
@@ -44,6 +47,7 @@
 use crate::stage::Limits;
 use crate::stage::Quarantine;
 use crate::view::Customer;
+use crate::view::Part;
 use crate::view::Route;
 use crate::view::View;
 
@@ -119,6 +123,11 @@
     pub read_limit: Duration,
     /// Deadline of a request that states none and whose route states none.
     pub request_limit: Duration,
+    /// Names that callers and upstreams use.
+    pub dialect: Dialect,
+    /// Whether a request that may crash upstreams is refused as a server error; a client error tells
+    /// the caller that the request itself is at fault.
+    pub soft_quarantine: bool,
 }
 
 impl From<&EntrySettings> for ProxySettings {
@@ -127,6 +136,8 @@
             body_limit: settings.body_limit,
             read_limit: settings.read_limit,
             request_limit: settings.request_limit,
+            dialect: Dialect::default(),
+            soft_quarantine: false,
         }
     }
 }
@@ -217,7 +228,7 @@
         };
         fail::fail_point!("proxy-answer");
         self.shared.meter.count(&done, start.elapsed());
-        trace.end(&mut done);
+        trace.end(&mut done, start.elapsed());
         done.response
     }
 
@@ -247,6 +258,7 @@
     async fn admit(&self, mut request: Request, start: Instant, trace: &mut Trace) -> Result<Admitted<S>> {
         fail::fail_point!("proxy-accepted");
         let view = self.parts.config.view();
+        trace.version = view.version;
         let found = self.identify(&view, &request, trace);
         // A route or key that an outdated configuration lacks may exist, so the refusal must not
         // tell the caller to give up.
@@ -261,33 +273,51 @@
             digest,
         } = found?;
         key::check_place(&request, key.as_deref())?;
-        if customer.is_some() && !self.parts.config.is_fresh(Instant::now()) {
+        if customer.is_some() && !self.may_serve() {
             return Err(Code::ConfigStale.into());
         }
         let deadline = start + self.limit(&request, &route)?;
         let body = self.read_body(&mut request, deadline).await?;
         key::check_body(&body, key.as_deref())?;
         fail::fail_point!("proxy-body");
-        let mut job = Job::new(&request, body, route, deadline, key.as_deref());
+        let mut job = Job::new(
+            &request,
+            body,
+            route,
+            deadline,
+            key.as_deref(),
+            &self.settings.dialect,
+        );
         job.id = trace.id.clone();
         job.customer = customer.as_ref().map(|c| c.id.clone());
         job.key = digest;
         job.fingerprint = job.fingerprint();
         if self.parts.quarantine.is_blocked(&job.fingerprint, Instant::now()) {
-            return Err(Code::Quarantined.into());
+            return Err(match self.settings.soft_quarantine {
+                true => Error::new(Code::NoUpstream, Code::Quarantined.text()),
+                false => Code::Quarantined.into(),
+            });
         }
         let id = claim_id(&request, &job)?;
         if let Some(customer) = &customer {
             self.parts.limits.take(customer, deadline).await?;
         }
         fail::fail_point!("proxy-limit");
+        self.parts.chooser.count(&job.route.service);
         self.claim(job, customer.as_ref(), id).await
     }
 
     fn identify(&self, view: &View, request: &Request, trace: &mut Trace) -> Result<Identity> {
-        let route = view.route(request.url().path()).ok_or(Code::NoRoute)?.clone();
+        let url = request.url();
+        let host = url.host_str().unwrap_or_default();
+        let mut route = view.find_route(host, url.path()).ok_or(Code::NoRoute)?.clone();
+        if let Some(service) = draw(&route.split) {
+            route.service = service;
+        }
         trace.service = Some(route.service.clone());
-        let key = key::find(request)?;
+        trace.route = Some(route.id.clone());
+        let dialect = &self.settings.dialect;
+        let key = key::find(request, dialect)?;
         if route.open {
             return Ok(Identity {
                 route,
@@ -296,7 +326,7 @@
                 digest: None,
             });
         }
-        let digest = key::digest(key.as_deref())?;
+        let digest = key::digest(key.as_deref(), dialect)?;
         let customer = key::customer(view, &digest)?.clone();
         trace.customer = Some(customer.id.clone());
         Ok(Identity {
@@ -330,16 +360,20 @@
     }
 
     fn limit(&self, request: &Request, route: &Route) -> Result<Duration> {
-        let Some(header) = request.header("x-request-timeout-ms") else {
-            return Ok(route.limit().unwrap_or(self.settings.request_limit));
+        let dialect = &self.settings.dialect;
+        let own = route.limit().unwrap_or(self.settings.request_limit);
+        let Some(header) = request.header(dialect.limit.as_str()) else {
+            return Ok(own);
         };
         let millis: u64 = header.as_str().trim().parse().map_err(|_| {
-            Error::new(
-                Code::BadRequest,
-                "x-request-timeout-ms is not a number of milliseconds",
-            )
+            let detail = format!("{} is not a number of milliseconds", dialect.limit);
+            Error::new(Code::BadRequest, detail)
         })?;
-        Ok(Duration::from_millis(millis).min(LONGEST_LIMIT))
+        let stated = Duration::from_millis(millis).min(LONGEST_LIMIT);
+        Ok(match dialect.caps_limit {
+            true => stated.min(own),
+            false => stated,
+        })
     }
 
     async fn read_body(&self, request: &mut Request, deadline: Instant) -> Result<Vec<u8>> {
@@ -365,12 +399,17 @@
         }
     }
 
+    /// Whether the configuration may admit requests with a key.
+    fn may_serve(&self) -> bool {
+        self.parts.config.is_fresh(Instant::now()) || self.parts.config.admits_stale()
+    }
+
     /// Checks again, just before a request is sent, that its key is valid.
     fn check_key(&self, job: &Job) -> Result<()> {
         let Some(digest) = &job.key else { return Ok(()) };
         // The view is read after the check, so that a process that was paused in between cannot send
         // by the view that it held before the pause.
-        if !self.parts.config.is_fresh(Instant::now()) {
+        if !self.may_serve() {
             return Err(Code::ConfigStale.into());
         }
         key::customer(&self.parts.config.view(), digest).map(drop)
@@ -453,6 +492,23 @@
     Ok(Some(id.into()))
 }
 
+/// One of the parts at random, in proportion to their weights; `None` without weights.
+fn draw(parts: &[Part]) -> Option<ServiceId> {
+    let total: u64 = parts.iter().map(|p| u64::from(p.weight)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut point = rand::rng().random_range(0..total);
+    for part in parts {
+        let weight = u64::from(part.weight);
+        if point < weight {
+            return Some(part.service.clone());
+        }
+        point -= weight;
+    }
+    None
+}
+
 /// Whether requests with a method may run twice without harm (RFC 9110 section 9.2.2).
 fn is_idempotent(method: Method) -> bool {
     use Method::*;
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -8,6 +8,7 @@
 use async_std::future;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
+use log::info;
 
 use crate::answer;
 use crate::answer::KEEP_BYTES;
@@ -58,8 +59,8 @@
 pub(crate) enum AnswerBody {
     /// It was read to its end.
     Full(Vec<u8>),
-    /// It is still to be read.
-    Open(Frame, Connection),
+    /// It is still to be read, after the bytes that were read already.
+    Open(Frame, Connection, Vec<u8>),
 }
 
 /// A chosen upstream; dropping it gives the upstream back as cancelled.
@@ -97,6 +98,13 @@
     fn give_back(&mut self, attempt: Attempt) {
         let Some(pick) = self.pick.take() else { return };
         let service = pick.service.clone();
+        info!(
+            "attempt: id={} service={service} upstream={} standing={} result={attempt} ms={}",
+            self.job.id,
+            pick.upstream,
+            pick.reason,
+            self.started.elapsed().as_millis()
+        );
         if !matches!(attempt, Attempt::Answered | Attempt::Cancelled) {
             let about = About::detail(attempt.to_string()).request(&self.job.id);
             event::record(Kind::AttemptFailed, about.upstream(&service, &pick.upstream));
@@ -152,8 +160,13 @@
         };
         fail::fail_point!("proxy-connected");
         ready()?;
-        if let Try::Done(outcome) = try_on(flight, &job, &pick, conn).await? {
-            return Ok(outcome);
+        match try_on(flight, &job, &pick, conn).await? {
+            Try::Done(outcome) => return Ok(outcome),
+            Try::Stale if !shared.parts.chooser.reconnects() => {
+                let detail = "a reused connection died or was silent";
+                return Ok(Outcome::Unknown(Attempt::Stale, detail.into()));
+            }
+            Try::Stale => {}
         }
         reuse = false;
     }
@@ -165,11 +178,17 @@
     pick: &Pick,
     conn: Connection,
 ) -> Result<Try> {
-    let id = flight.shared.next_id();
-    let bytes = forward::encode(job, pick, &id).await?;
+    let shared = Arc::clone(&flight.shared);
+    let dialect = &shared.settings.dialect;
+    let id = match dialect.keeps_id {
+        true => job.given_id.clone(),
+        false => flight.shared.next_id(),
+    };
+    let bytes = forward::encode(job, pick, &id, dialect);
     flight.started = Instant::now();
     let reused = conn.reused;
-    match write(&conn.stream, &bytes, job).await {
+    let written = write(&conn.stream, &bytes, job).await;
+    match written {
         Written::All => {}
         Written::Nothing if reused => return Ok(Try::Stale),
         Written::Nothing => {
@@ -185,17 +204,22 @@
         true => flight.started + flight.shared.parts.chooser.reuse_limit(&job.route.id),
         false => job.deadline,
     };
-    let until = until.min(job.deadline);
+    let chooser = &shared.parts.chooser;
+    let may_leave = job.idempotent && job.has_more() && chooser.allows_retry(&job.route.service);
+    let patience = chooser.patience(&job.route).filter(|_| may_leave);
+    let patient = patience.map_or(job.deadline, |p| flight.started + p);
+    let until = until.min(patient).min(job.deadline);
     let byte = answer::first_byte(&mut buffered, until).await;
     flight.latency = flight.started.elapsed();
     match byte {
         Ok(true) => {}
         _ if reused && !job.left().is_zero() => return Ok(Try::Stale),
+        Err(e) if e.kind() == io::ErrorKind::TimedOut && !job.left().is_zero() => return Ok(slow()),
         Err(e) if e.kind() == io::ErrorKind::TimedOut => return Ok(late()),
         Ok(false) => return Ok(died("the connection ended before the answer")),
         Err(e) => return Ok(died(&e.to_string())),
     }
-    let reply = match future::timeout(job.left(), answer::read_head(&mut buffered, job.method)).await {
+    let mut reply = match future::timeout(job.left(), answer::read_head(&mut buffered, job.method)).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(e)) if e.kind() == io::ErrorKind::InvalidData => return Ok(wrong(&e.to_string())),
         Ok(Err(e)) => return Ok(died(&e.to_string())),
@@ -203,12 +227,20 @@
     };
     fail::fail_point!("proxy-head");
     // A foreign id means that the answer belongs to another request.
-    if reply.header("x-request-id").is_some_and(|other| other != id) {
-        return Ok(wrong("the answer belongs to another request"));
+    match reply.header(&dialect.id) {
+        Some(other) if other != id => return Ok(wrong("the answer belongs to another request")),
+        None if dialect.echoes_id => return Ok(wrong("the answer names no request")),
+        _ => {}
+    }
+    let stamp = dialect.stamp.as_deref();
+    if reply.status.is_success() && stamp.is_some_and(|name| reply.header(name).is_none()) {
+        return Ok(wrong("a success without the mark of an upstream"));
     }
+    // The upstream may still wait for the rest of the body.
+    reply.close |= !matches!(written, Written::All);
     flight.load = reply.header("x-load").and_then(|load| load.parse().ok());
     let frame = Frame::new(buffered, reply.framing);
-    if reply.is_not_run() {
+    if reply.is_not_run(dialect) {
         job.unsend();
         shed(flight, &reply, frame, conn).await;
         return Ok(Try::Done(Outcome::NotRun));
@@ -223,14 +255,18 @@
     mut frame: Frame,
     conn: Connection,
 ) -> Outcome {
-    let is_short = matches!(reply.framing, Framing::Length(length) if length <= KEEP_BYTES as u64);
-    if !is_short {
-        let body = AnswerBody::Open(frame, conn);
+    let is_long = matches!(reply.framing, Framing::Length(length) if length > KEEP_BYTES as u64);
+    if is_long {
+        let body = AnswerBody::Open(frame, conn, Vec::new());
         return Outcome::Answered(Answer { reply, body });
     }
     let mut body = Vec::new();
     match future::timeout(job.left(), answer::read_short(&mut frame, &mut body)).await {
-        Ok(Ok(_)) => {}
+        Ok(Ok(Some(()))) => {}
+        Ok(Ok(None)) => {
+            let body = AnswerBody::Open(frame, conn, body);
+            return Outcome::Answered(Answer { reply, body });
+        }
         Ok(Err(_)) => {
             let detail = format!("the answer was cut after {} bytes of its body", body.len());
             return Outcome::Unknown(Attempt::Cut, detail);
@@ -256,7 +292,7 @@
 pub(crate) fn keep<S: Stages>(shared: &Shared<S>, reply: &Reply, frame: &Frame, conn: Connection) {
     let rest = frame.take_conn();
     if !reply.close && rest.is_some_and(|rest| rest.data().is_empty()) {
-        shared.pool.keep(conn);
+        shared.pool.keep(conn, reply.idle);
     }
 }
 
@@ -269,6 +305,12 @@
     Try::Done(Outcome::Unknown(Attempt::Late, detail))
 }
 
+/// The answer takes longer than an idempotent request waits for one upstream.
+fn slow() -> Try {
+    let detail = "no answer within the patience for one upstream";
+    Try::Done(Outcome::Unknown(Attempt::Late, detail.into()))
+}
+
 fn wrong(detail: &str) -> Try {
     Try::Done(Outcome::Unknown(Attempt::Failed, detail.into()))
 }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -1,44 +1,31 @@
 //! What an upstream gets of a request.
 
-use std::io;
-
-use async_h1::client::Encoder;
-use async_std::io::ReadExt;
-use smol_str::SmolStr;
-use tide::http::Body;
+use tide::http::Method;
 use tide::http::Request;
-use tide::http::Url;
 use tide::http::headers::HeaderName;
 use tide::http::headers::HeaderValue;
 
 use crate::answer::is_hop_by_hop;
-use crate::code::Code;
-use crate::error::Error;
-use crate::error::Result;
+use crate::dialect::Dialect;
+use crate::head;
 use crate::stage::Pick;
 
 use super::job::Job;
 use super::key::holds_key;
 
-/// Headers of callers that upstreams never get: places of keys, what this proxy has done itself,
-/// and names under which upstreams trust this proxy.
-const DROPPED: [&str; 9] = [
-    "authorization",
-    "x-api-key",
-    "proxy-authorization",
-    "content-length",
-    "expect",
-    "x-customer",
-    "x-request-id",
-    "x-request-timeout-ms",
-    "zinnia-run",
-];
+/// Headers of callers that upstreams never get besides those of the dialect: places of keys, and what
+/// this proxy has done itself.
+const DROPPED: [&str; 4] = ["proxy-authorization", "content-length", "expect", "zinnia-run"];
 
 /// Path and query without parameters that hold a key.
-pub(crate) fn target(url: &Url, key: Option<&str>) -> String {
-    let mut target = url.path().to_owned();
-    let query = url.query().unwrap_or_default();
+pub(crate) fn target(request: &Request, key: Option<&str>) -> String {
+    let whole = head::raw_target(request);
+    let (path, query) = whole.split_once('?').unwrap_or((&whole, ""));
+    if query.is_empty() {
+        return whole;
+    }
     let kept: Vec<&str> = query.split('&').filter(|p| !holds_key(p, key)).collect();
+    let mut target = path.to_owned();
     let kept = kept.join("&");
     if !kept.is_empty() {
         target.push('?');
@@ -48,7 +35,11 @@
 }
 
 /// Headers for the upstream.
-pub(crate) fn headers(request: &Request, key: Option<&str>) -> Vec<(HeaderName, HeaderValue)> {
+pub(crate) fn headers(
+    request: &Request,
+    key: Option<&str>,
+    dialect: &Dialect,
+) -> Vec<(HeaderName, HeaderValue)> {
     let listed: Vec<String> = request
         .header("connection")
         .into_iter()
@@ -59,7 +50,7 @@
     let mut kept = Vec::new();
     for (name, values) in request.iter() {
         let text = name.as_str();
-        let foreign = DROPPED.contains(&text) || is_hop_by_hop(text, &listed);
+        let foreign = DROPPED.contains(&text) || dialect.is_own(text) || is_hop_by_hop(text, &listed);
         // Header names are lower case here, keys need not be.
         if foreign || holds_key(text, key.map(str::to_ascii_lowercase).as_deref()) {
             continue;
@@ -86,31 +77,35 @@
 }
 
 /// The bytes of one attempt.
-///
-/// # Errors
-/// `BadRequest` if the target and the address make no URL.
-pub(crate) async fn encode(job: &Job, pick: &Pick, id: &SmolStr) -> Result<Vec<u8>> {
-    let url = Url::parse(&format!("http://{}{}", pick.address, job.target))
-        .map_err(|e| Error::new(Code::BadRequest, format!("request target: {e}")))?;
-    let mut request = Request::new(job.method, url);
-    request.set_body(Body::from_bytes(job.body.clone()));
-    // `set_body` invents a content type; the caller's follows, if there is one.
-    request.remove_header("content-type");
+pub(crate) fn encode(job: &Job, pick: &Pick, id: &str, dialect: &Dialect) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(job.body.len() + 512);
+    let mut put = |parts: &[&str]| parts.iter().for_each(|p| bytes.extend_from_slice(p.as_bytes()));
+    put(&[job.method.as_ref(), " ", &job.target, " HTTP/1.1\r\n"]);
+    let mut has_host = false;
     for (name, value) in &job.headers {
-        request.append_header(name.clone(), value.clone());
+        has_host |= name.as_str() == "host";
+        put(&[name.as_str(), ": ", value.as_str(), "\r\n"]);
+    }
+    if !has_host {
+        put(&["host: ", &pick.address.to_string(), "\r\n"]);
     }
-    request.insert_header("x-request-id", id.as_str());
-    request.insert_header("x-request-timeout-ms", job.left().as_millis().to_string());
+    if !dialect.keeps_id {
+        put(&[&dialect.id, ": ", id, "\r\n"]);
+    }
+    put(&[&dialect.limit, ": ", &job.left().as_millis().to_string(), "\r\n"]);
     if let Some(customer) = &job.customer {
-        let value = HeaderValue::from_bytes(customer.as_bytes().to_vec())
-            .map_err(|_| Error::new(Code::BadRequest, "the customer's name is not ASCII"))?;
-        request.insert_header("x-customer", value);
+        put(&[&dialect.customer, ": ", customer, "\r\n"]);
     }
-    let mut bytes = Vec::with_capacity(job.body.len() + 512);
-    let failed = |e: io::Error| Error::new(Code::BadRequest, e.to_string());
-    Encoder::new(request)
-        .read_to_end(&mut bytes)
-        .await
-        .map_err(failed)?;
-    Ok(bytes)
+    if let Some(expect) = &dialect.expect {
+        put(&[expect, ": ", &pick.upstream, "\r\n"]);
+    }
+    // A request without a body needs no length, but some upstreams wait for one after these methods.
+    let states_length =
+        !job.body.is_empty() || matches!(job.method, Method::Post | Method::Put | Method::Patch);
+    if states_length {
+        put(&["content-length: ", &job.body.len().to_string(), "\r\n"]);
+    }
+    put(&["\r\n"]);
+    bytes.extend_from_slice(&job.body);
+    bytes
 }
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -12,6 +12,7 @@
 use tide::http::headers::HeaderName;
 use tide::http::headers::HeaderValue;
 
+use crate::dialect::Dialect;
 use crate::id::CustomerId;
 use crate::id::RequestId;
 use crate::view::Route;
@@ -23,6 +24,8 @@
 pub(crate) struct Job {
     /// Names the request in the time line.
     pub(crate) id: RequestId,
+    /// Id that the caller sent, empty if it sent none.
+    pub(crate) given_id: RequestId,
     pub(crate) method: Method,
     /// Path and query, without any key.
     pub(crate) target: String,
@@ -37,6 +40,8 @@
     pub(crate) idempotent: bool,
     pub(crate) fingerprint: String,
     gone: AtomicBool,
+    /// Whether another upstream may be tried after the present one.
+    more: AtomicBool,
     /// Attempts that were sent and are not known as not run.
     sent: AtomicUsize,
 }
@@ -48,20 +53,26 @@
         route: Route,
         deadline: Instant,
         key: Option<&str>,
+        dialect: &Dialect,
     ) -> Self {
         Self {
             id: RequestId::default(),
+            given_id: request
+                .header(dialect.id.as_str())
+                .map(|v| v.as_str().into())
+                .unwrap_or_default(),
             method: request.method(),
-            target: forward::target(request.url(), key),
-            headers: forward::headers(request, key),
+            target: forward::target(request, key),
+            headers: forward::headers(request, key, dialect),
             body,
-            idempotent: route.idempotent || is_idempotent(request.method()),
+            idempotent: !route.once && (route.idempotent || is_idempotent(request.method())),
             route,
             customer: None,
             key: None,
             deadline,
             fingerprint: String::new(),
             gone: AtomicBool::new(false),
+            more: AtomicBool::new(false),
             sent: AtomicUsize::new(0),
         }
     }
@@ -87,6 +98,16 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Records whether another upstream may be tried after the present one.
+    pub(crate) fn set_more(&self, more: bool) {
+        self.more.store(more, Ordering::Relaxed);
+    }
+
+    /// Whether another upstream may be tried after the present one.
+    pub(crate) fn has_more(&self) -> bool {
+        self.more.load(Ordering::Relaxed)
+    }
+
     /// Records that the caller has left.
     pub(crate) fn leave(&self) {
         self.gone.store(true, Ordering::SeqCst);
--- a/src/proxy/key.rs
+++ b/src/proxy/key.rs
@@ -6,6 +6,7 @@
 use tide::http::Request;
 
 use crate::code::Code;
+use crate::dialect::Dialect;
 use crate::error::Error;
 use crate::error::Result;
 use crate::secret;
@@ -22,14 +23,17 @@
 ///
 /// # Errors
 /// `BadRequest` if two different keys came.
-pub(crate) fn find(request: &Request) -> Result<Option<String>> {
+pub(crate) fn find(request: &Request, dialect: &Dialect) -> Result<Option<String>> {
     let values = |name: &str| {
         let found = request.header(name).into_iter().flat_map(|v| v.iter());
         found.map(|v| v.as_str().to_owned()).collect::<Vec<_>>()
     };
-    let bearer = values("authorization");
+    let bearer = match dialect.bearer {
+        true => values("authorization"),
+        false => Vec::new(),
+    };
     let bearer = bearer.iter().filter_map(|v| bearer_token(v));
-    let plain = values("x-api-key");
+    let plain = values(&dialect.key);
     let mut all = bearer.chain(plain.iter().map(|v| v.trim()));
     let first = all.next();
     if all.any(|other| Some(other) != first) {
@@ -44,9 +48,9 @@
 }
 
 /// The digest under which a key is stored.
-pub(crate) fn digest(key: Option<&str>) -> Result<SmolStr> {
+pub(crate) fn digest(key: Option<&str>, dialect: &Dialect) -> Result<SmolStr> {
     let key = key.ok_or(Code::NoKey)?;
-    if !key.starts_with(KEY_PREFIX) {
+    if !dialect.any_key && !key.starts_with(KEY_PREFIX) {
         return Err(Code::WrongKey.into());
     }
     Ok(secret::digest(key))
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -39,6 +39,8 @@
 
 /// Attempts of one request at most; the retry budget of the service usually ends it earlier.
 const ATTEMPTS: usize = 4;
+/// Upstreams of one request that could not be reached, at most.
+const UNSENT: usize = 6;
 /// How long the caller's answer waits until a crash is reported to all VMs.
 const REPORT_LIMIT: Duration = Duration::from_millis(500);
 
@@ -94,6 +96,8 @@
 /// What is known while attempts go on.
 struct Progress {
     tried: Vec<UpstreamId>,
+    /// Upstreams that got the request.
+    sent: usize,
     /// The error if no further attempt is made.
     error: Error,
     /// An answer with a status of 500 or more, returned if no further attempt does better.
@@ -105,11 +109,23 @@
     pub(crate) async fn run(self: Arc<Self>, job: Arc<Job>, ticket: Option<Ticket<S>>) -> Done {
         let mut progress = Progress {
             tried: Vec::new(),
+            sent: 0,
             error: Code::NoUpstream.into(),
             fallback: None,
         };
         let mut ticket = ticket;
-        for number in 0..ATTEMPTS {
+        let attempts = match job.route.attempts {
+            0 => ATTEMPTS,
+            most => usize::from(most),
+        };
+        // An upstream that was not reached has not got the request.
+        while progress.sent < attempts && progress.tried.len() < attempts + UNSENT {
+            let number = match self.parts.chooser.frees_unsent() {
+                true => progress.sent,
+                false => progress.tried.len(),
+            };
+            // The last send waits for as long as the request has time.
+            job.set_more(progress.sent + 1 < attempts);
             if number > 0 && !self.may_retry(&job) {
                 break;
             }
@@ -149,6 +165,9 @@
         fail::fail_point!("proxy-chosen");
         let outcome = attempt::attempt(&mut flight, &|| self.check_send(job, ticket.as_ref())).await?;
         progress.tried.extend(name);
+        if !matches!(outcome, Outcome::NotSent(..)) {
+            progress.sent += 1;
+        }
         match outcome {
             Outcome::NotSent(attempt, detail) => {
                 flight.end(attempt);
@@ -164,13 +183,14 @@
                 progress.fallback = Some(Done::answered(full(answer), latency));
             }
             Outcome::Answered(answer) => {
+                self.parts.quarantine.clear(&job.fingerprint);
                 return Ok(Some(self.answer(job, flight, ticket.take(), answer).await));
             }
             Outcome::Unknown(attempt, detail) => {
                 flight.end(attempt);
                 self.report(job, attempt).await;
                 let error = attempt::failure(job, attempt, &detail);
-                if !job.idempotent || attempt == Attempt::Late {
+                if !job.idempotent || job.left().is_zero() {
                     return Err(error);
                 }
                 progress.error = error;
@@ -232,13 +252,14 @@
                 });
                 return Done::answered(full(answer), latency);
             }
-            AnswerBody::Open(frame, conn) => stream::Open {
+            AnswerBody::Open(frame, conn, head) => stream::Open {
                 job: Arc::clone(job),
                 flight,
                 ticket,
                 reply: answer.reply,
                 frame,
                 conn,
+                head,
             },
         };
         Done::answered(stream::respond(self, reply), latency)
--- a/src/proxy/stream.rs
+++ b/src/proxy/stream.rs
@@ -52,6 +52,8 @@
     pub(crate) reply: Reply,
     pub(crate) frame: Frame,
     pub(crate) conn: Connection,
+    /// First bytes of the body, which were read already.
+    pub(crate) head: Vec<u8>,
 }
 
 /// The response whose body a new task reads.
@@ -103,6 +105,15 @@
 }
 
 async fn read<S: Stages>(open: &mut Open<S>, sender: &Sender<Part>, kept: &mut Option<Vec<u8>>) -> Attempt {
+    let head = std::mem::take(&mut open.head);
+    if !head.is_empty() {
+        if open.ticket.is_some() {
+            keep_part(kept, &head);
+        }
+        if sender.send(Part::Bytes(head)).await.is_err() && open.job.idempotent {
+            return Attempt::Cancelled;
+        }
+    }
     let mut part = vec![0; PART_BYTES];
     loop {
         let count = match future::timeout(STALL_LIMIT, open.frame.read(&mut part)).await {
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -1,5 +1,8 @@
-//! What the time line learns of a request that was refused or failed.
+//! What logs and the time line learn of a request.
 
+use std::time::Duration;
+
+use log::info;
 use smol_str::SmolStr;
 use tide::http::Request;
 
@@ -9,7 +12,9 @@
 use crate::event::Kind;
 use crate::id::CustomerId;
 use crate::id::RequestId;
+use crate::id::RouteId;
 use crate::id::ServiceId;
+use crate::id::Version;
 
 use super::run::Done;
 
@@ -24,6 +29,9 @@
     pub(crate) id: RequestId,
     pub(crate) customer: Option<CustomerId>,
     pub(crate) service: Option<ServiceId>,
+    pub(crate) route: Option<RouteId>,
+    /// Version of the configuration that admitted or refused it.
+    pub(crate) version: Version,
 }
 
 impl Trace {
@@ -41,8 +49,21 @@
         }
     }
 
-    /// Records a request that got no answer of an upstream.
-    pub(crate) fn end(&self, done: &mut Done) {
+    /// Logs how the request ended; one without an answer of an upstream is recorded as an event too.
+    pub(crate) fn end(&self, done: &mut Done, elapsed: Duration) {
+        info!(
+            "request: id={} route={} service={} customer={} version={} code={} run={} status={} ms={} detail=\"{}\"",
+            self.id,
+            self.route.as_deref().unwrap_or("-"),
+            self.service.as_deref().unwrap_or("-"),
+            self.customer.as_deref().unwrap_or("-"),
+            self.version,
+            done.code.number(),
+            done.run,
+            done.response.status() as u16,
+            elapsed.as_millis(),
+            done.detail
+        );
         if done.code == Code::Ok {
             return;
         }
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -44,8 +44,10 @@
 pub struct ReplicaSettings {
     /// This VM.
     pub vm: VmName,
-    /// All control VMs, including this one.
+    /// All control VMs, including this one; in an open group those that are asked for membership.
     pub peers: Vec<VmName>,
+    /// Whether VMs outside `peers` may join, and voters that are gone may be removed.
+    pub is_open: bool,
     /// Time between heartbeats of the leader.
     pub heartbeat: Duration,
     /// Shortest time without a leader before an election; the longest is twice this.
@@ -66,6 +68,7 @@
         Self {
             vm,
             peers,
+            is_open: false,
             heartbeat,
             election,
             batch_entries: 1_024,
@@ -95,6 +98,8 @@
         /// Repeated in `Confirmed` or `Rejected`.
         token: u64,
     },
+    /// The control VMs to ask for membership; used by open groups only.
+    Peers(Vec<VmName>),
     /// All entries up to this one, appended earlier, are synced.
     Persisted {
         /// The last one.
@@ -195,6 +200,8 @@
     pub commit: Index,
     /// Last entry applied to the machine.
     pub applied: Index,
+    /// Whether everything accepted before the term of the leader is applied here.
+    pub is_current: bool,
     /// Last entry in the log.
     pub last: Index,
     /// The replicas, as far as this one knows.
@@ -266,6 +273,7 @@
             Input::Message(envelope) => self.receive(now, envelope),
             Input::Propose { token, data } => self.propose(now, token, data),
             Input::Barrier { token } => self.barrier(now, token),
+            Input::Peers(peers) => self.settings.peers = peers,
             Input::Persisted { index, term } => self.persist(now, index, term),
             Input::Compact { index, state } => self.compact(index, state),
         }
@@ -284,6 +292,7 @@
             leader: self.leader.clone(),
             commit: self.commit,
             applied: self.commit,
+            is_current: self.has_committed_own_term(),
             last: self.log.last(),
             membership: self.log.membership().cloned().unwrap_or_default(),
         }
@@ -294,7 +303,8 @@
             self.lead(now);
             return;
         }
-        if !self.is_voter() {
+        // A voter of an open group may have been removed while it was away, and does not know it.
+        if !self.is_voter() || self.settings.is_open {
             self.ask_to_join(now);
         }
         if now >= self.deadline {
--- a/src/replica/member.rs
+++ b/src/replica/member.rs
@@ -10,10 +10,17 @@
 use super::Output;
 use super::Replica;
 use super::ReplicaId;
+use super::leader::Progress;
 use crate::id::Index;
 use crate::id::Term;
 use crate::id::VmName;
 
+/// A voter that is silent for this many election timeouts counts as gone: longer than the freeze of
+/// a VM and shorter than the time after which a second loss may follow a repair.
+const GONE_ELECTIONS: u32 = 4;
+/// Smallest group from which a voter is removed; three voters must remain.
+const SMALLEST_EVEN: usize = 4;
+
 /// A replica that asked to become a member.
 pub(super) struct Joiner {
     member: Member,
@@ -50,7 +57,7 @@
         term: Term,
         fresh: bool,
     ) {
-        if !self.peers().any(|vm| *vm == from.vm) {
+        if !self.settings.is_open && !self.peers().any(|vm| *vm == from.vm) {
             return;
         }
         let joiner = Joiner {
@@ -66,7 +73,7 @@
     /// Creates the first membership. Only the first VM by name does so, and only when every control
     /// VM has an empty disk: otherwise a group with data exists and this replica has to join it.
     fn start_group(&mut self, now: Instant) {
-        if !self.is_fresh() || self.peers().any(|vm| *vm < self.settings.vm) {
+        if self.settings.is_open || !self.is_fresh() || self.peers().any(|vm| *vm < self.settings.vm) {
             return;
         }
         let joiners: Vec<&Joiner> = self.peers().filter_map(|vm| self.joins.get(vm)).collect();
@@ -100,6 +107,7 @@
         };
         let next = self
             .promotion(now, current)
+            .or_else(|| self.removal(now, current))
             .or_else(|| self.admission(now, current));
         if let Some(membership) = next {
             self.joins.retain(|_, j| !membership.contains(j.member.id));
@@ -121,6 +129,24 @@
         Some(next)
     }
 
+    /// Removes a voter that is gone from an open group of even size: the group then needs one vote
+    /// less and bears the same number of losses. A replica that returns later joins again.
+    fn removal(&self, now: Instant, current: &Membership) -> Option<Membership> {
+        let count = current.voters.len();
+        if !self.settings.is_open || !count.is_multiple_of(2) || count < SMALLEST_EVEN {
+            return None;
+        }
+        let limit = self.settings.election * GONE_ELECTIONS;
+        let is_gone = |p: &Progress| now.saturating_duration_since(p.heard) >= limit;
+        let gone = current
+            .voters
+            .iter()
+            .find(|m| self.progress.get(&m.id).is_some_and(is_gone))?;
+        let mut next = current.clone();
+        next.voters.retain(|m| m.id != gone.id);
+        Some(next)
+    }
+
     fn has_caught_up(&self, now: Instant, id: ReplicaId) -> bool {
         let caught_up = |matched: Index| matched >= self.commit;
         let progress = self.progress.get(&id);
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -245,22 +245,30 @@
 /// Characters for one byte in hexadecimal text.
 const HEX_FACTOR: usize = 2;
 
-/// JSON has no bytes; hexadecimal text is half the size of a list of numbers.
+/// JSON has no bytes; hexadecimal text is half the size of a list of numbers. Binary formats get the
+/// bytes as they are.
 mod hex_bytes {
     use std::borrow::Cow;
 
     use serde::Deserialize;
     use serde::Deserializer;
+    use serde::Serialize;
     use serde::Serializer;
     use serde::de::Error;
 
     use super::Bytes;
 
     pub(super) fn serialize<S: Serializer>(bytes: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+        if !serializer.is_human_readable() {
+            return bytes.serialize(serializer);
+        }
         serializer.serialize_str(&hex::encode(bytes))
     }
 
     pub(super) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Bytes, D::Error> {
+        if !deserializer.is_human_readable() {
+            return Vec::<u8>::deserialize(deserializer).map(Bytes::from);
+        }
         let text = Cow::<'de, str>::deserialize(deserializer)?;
         let bytes = hex::decode(text.as_bytes()).map_err(D::Error::custom)?;
         Ok(bytes.into())
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -3,6 +3,8 @@
 //! One thread owns the core and the journal. It takes all waiting inputs, steps the core, syncs the
 //! disk once for all of them, and then sends, applies and answers.
 
+use std::collections::BTreeMap;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -25,11 +27,18 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::id::Index;
+use crate::id::Term;
+use crate::id::VmName;
 use crate::journal::Journal;
 use crate::kernel::Service;
+use crate::rendezvous;
 use crate::replica::Bytes;
+use crate::replica::Content;
+use crate::replica::Entry;
 use crate::replica::Envelope;
 use crate::replica::HardState;
+use crate::replica::Member;
+use crate::replica::Membership;
 use crate::replica::Message;
 use crate::replica::Replica;
 use crate::replica::ReplicaSettings;
@@ -65,6 +74,9 @@
 /// up and a new one to be elected.
 const ANSWER_ELECTIONS: u32 = 5;
 
+/// Term of the entry that founds a group.
+const FIRST_TERM: Term = 1;
+
 /// A deterministic state machine.
 pub trait Machine: Send + 'static {
     /// Applies a command and returns its result. It must depend on nothing but the state and the
@@ -81,12 +93,26 @@
     fn restore(&mut self, data: &[u8]) -> Result<()>;
 }
 
+/// Delivers messages to other replicas; they may get lost.
+pub trait Courier: Send + 'static {
+    /// Sends a message without waiting for its delivery.
+    fn send(&mut self, envelope: Envelope);
+}
+
+/// How a replica starts on an empty disk.
+#[derive(Debug, Clone, Default)]
+pub struct Founding {
+    /// The first voters, the same list on each of them; empty if the replica has to join a group.
+    pub voters: Vec<VmName>,
+}
+
 type Answer<T> = oneshot::Sender<Result<T>>;
 
 /// An input of the worker.
 enum Event {
     Tick,
     Message(Envelope),
+    Peers(Vec<VmName>),
     Propose(Bytes, Answer<Vec<u8>>),
     Barrier(Answer<Index>),
     Stop,
@@ -114,20 +140,46 @@
     /// # Errors
     /// `Io` if the data folder cannot be read or written, `Corrupt` if a file in it is damaged or the
     /// machine cannot read its snapshot.
-    pub async fn open(
-        settings: &ControlSettings,
-        secret: Secret,
+    pub async fn open(settings: &ControlSettings, secret: Secret, machine: M, timer: &Timer) -> Result<Self> {
+        let common = &settings.common;
+        let peers = common.control.iter().map(|p| p.vm.clone()).collect();
+        let core = ReplicaSettings::new(common.vm.clone(), peers, settings.heartbeat, settings.election);
+        let others = common.control.iter().filter(|p| p.vm != common.vm);
+        let clients = others.map(|p| (p.vm.clone(), Client::new(p.address, secret.clone())));
+        let courier = RpcCourier(
+            clients
+                .map(|(vm, client)| (vm, Outbox::spawn(client, settings.election)))
+                .collect(),
+        );
+        Self::open_with(
+            core,
+            &settings.data,
+            &Founding::default(),
+            machine,
+            timer,
+            courier,
+        )
+        .await
+    }
+
+    /// Like `open`, with a transport and a way to found the group that the caller chooses.
+    ///
+    /// # Errors
+    /// As for `open`.
+    pub async fn open_with<C: Courier>(
+        core: ReplicaSettings,
+        folder: &Path,
+        founding: &Founding,
         mut machine: M,
         timer: &Timer,
+        courier: C,
     ) -> Result<Self> {
-        let folder = settings.data.clone();
-        let (journal, stored) = task::spawn_blocking(move || open_journal(&folder)).await?;
+        let (folder, founding, vm) = (folder.to_owned(), founding.clone(), core.vm.clone());
+        let (journal, stored) = task::spawn_blocking(move || open_journal(&folder, &vm, &founding)).await?;
         if let Some(snapshot) = &stored.snapshot {
             machine.restore(&snapshot.data)?;
         }
-        let common = &settings.common;
-        let peers = common.control.iter().map(|p| p.vm.clone()).collect();
-        let core = ReplicaSettings::new(common.vm.clone(), peers, settings.heartbeat, settings.election);
+        let (heartbeat, election) = (core.heartbeat, core.election);
         let replica = Replica::new(core, stored, Instant::now(), random()?);
         let shared = Arc::new(Shared {
             machine: Mutex::new(machine),
@@ -135,26 +187,35 @@
             failure: Mutex::default(),
         });
         let (events, inbox) = channel::bounded(EVENT_QUEUE);
-        let others = common.control.iter().filter(|p| p.vm != common.vm);
-        let clients = others.map(|p| (p.vm.clone(), Client::new(p.address, secret.clone())));
-        let peers = clients
-            .map(|(vm, client)| (vm, Outbox::spawn(client, settings.election)))
-            .collect();
-        let worker = Worker::new(inbox, replica, journal, peers, Arc::clone(&shared));
+        let worker = Worker::new(inbox, replica, journal, courier, Arc::clone(&shared));
         let worker = thread::Builder::new()
             .name("replication".into())
             .spawn(move || worker.run())
             .map_err(|e| Error::io("thread of the replica", &e))?;
-        let ticks = timer.subscribe(settings.heartbeat / TICKS_PER_BEAT);
+        let ticks = timer.subscribe(heartbeat / TICKS_PER_BEAT);
         task::spawn(forward_ticks(ticks, events.clone()));
         Ok(Self {
             shared,
             events,
             worker: Mutex::new(Some(worker)),
-            limit: settings.election * ANSWER_ELECTIONS,
+            limit: election * ANSWER_ELECTIONS,
         })
     }
 
+    /// Takes a message of another replica; a full queue drops it as a network would.
+    pub fn receive(&self, envelope: Envelope) {
+        if self.events.try_send(Event::Message(envelope)).is_err() {
+            log::debug!("message of a replica dropped: the queue is full or closed");
+        }
+    }
+
+    /// Names the control VMs that an open group asks for membership.
+    pub fn set_peers(&self, peers: Vec<VmName>) {
+        if self.events.try_send(Event::Peers(peers)).is_err() {
+            log::debug!("list of control VMs dropped: the queue is full or closed");
+        }
+    }
+
     /// Proposes a command and waits until it is committed and applied; returns the result of `apply`.
     ///
     /// # Errors
@@ -245,23 +306,44 @@
     }
 }
 
-/// Opens the journal; an empty disk gets a new identity, stored before anything is sent.
-fn open_journal(folder: &std::path::Path) -> Result<(Journal, Stored)> {
+/// Opens the journal; an empty disk gets its identity, stored before anything is sent.
+///
+/// The voters of a founding derive their identities from their names, so that all of them write the
+/// same first entry without an exchange. A disk that was lost later gets a random identity.
+fn open_journal(folder: &Path, vm: &VmName, founding: &Founding) -> Result<(Journal, Stored)> {
     let (mut journal, stored) = Journal::open(folder)?;
     if let Some(stored) = stored {
         return Ok((journal, stored));
     }
-    let hard = HardState {
-        id: random()?,
-        term: 0,
-        vote: None,
-    };
-    journal.save_hard_state(hard)?;
-    let stored = Stored {
-        hard,
+    let mut stored = Stored {
+        hard: HardState {
+            id: random()?,
+            term: 0,
+            vote: None,
+        },
         snapshot: None,
         log: Vec::new(),
     };
+    if founding.voters.contains(vm) {
+        let member = |vm: &VmName| Member {
+            vm: vm.clone(),
+            id: rendezvous::hash(&[b"founder", vm.as_bytes()]),
+        };
+        let voters: Vec<Member> = founding.voters.iter().map(member).collect();
+        stored.hard.id = member(vm).id;
+        stored.hard.term = FIRST_TERM;
+        let learners = Vec::new();
+        stored.log.push(Entry {
+            index: 1,
+            term: FIRST_TERM,
+            content: Content::Membership(Membership { voters, learners }),
+        });
+    }
+    journal.save_hard_state(stored.hard)?;
+    if !stored.log.is_empty() {
+        journal.append(1, &stored.log)?;
+        journal.sync()?;
+    }
     Ok((journal, stored))
 }
 
@@ -269,6 +351,17 @@
     getrandom::u64().map_err(|e| Error::new(Code::Io, format!("random bytes: {e}")))
 }
 
+/// Delivers by JSON-RPC to a fixed list of control VMs.
+struct RpcCourier(BTreeMap<VmName, Outbox>);
+
+impl Courier for RpcCourier {
+    fn send(&mut self, envelope: Envelope) {
+        if let Some(peer) = self.0.get(&envelope.to) {
+            peer.send(envelope);
+        }
+    }
+}
+
 /// Queues of messages to one peer. Entries and parts of snapshots have their own, so that they do not
 /// delay heartbeats and votes.
 struct Outbox {
--- a/src/replication/worker.rs
+++ b/src/replication/worker.rs
@@ -9,9 +9,9 @@
 use async_std::task;
 
 use super::Answer;
+use super::Courier;
 use super::Event;
 use super::Machine;
-use super::Outbox;
 use super::Shared;
 use crate::code::Code;
 use crate::error::Error;
@@ -44,11 +44,11 @@
 }
 
 /// The core, the journal and the calls that wait for an answer.
-pub(super) struct Worker<M> {
+pub(super) struct Worker<M, C> {
     inbox: Receiver<Event>,
     replica: Replica,
     journal: Journal,
-    peers: BTreeMap<VmName, Outbox>,
+    courier: C,
     shared: Arc<Shared<M>>,
     /// Number of the next proposal or barrier.
     token: u64,
@@ -59,12 +59,12 @@
     compacted: Index,
 }
 
-impl<M: Machine> Worker<M> {
+impl<M: Machine, C: Courier> Worker<M, C> {
     pub(super) fn new(
         inbox: Receiver<Event>,
         replica: Replica,
         journal: Journal,
-        peers: BTreeMap<VmName, Outbox>,
+        courier: C,
         shared: Arc<Shared<M>>,
     ) -> Self {
         let applied = replica.status().applied;
@@ -72,7 +72,7 @@
             inbox,
             replica,
             journal,
-            peers,
+            courier,
             shared,
             token: 0,
             proposals: HashMap::new(),
@@ -124,6 +124,7 @@
         let input = match event {
             Event::Tick | Event::Stop => return Vec::new(),
             Event::Message(envelope) => Input::Message(envelope),
+            Event::Peers(peers) => Input::Peers(peers),
             Event::Propose(data, answer) => {
                 self.proposals.insert(token, answer);
                 Input::Propose { token, data }
@@ -219,11 +220,9 @@
         Ok(())
     }
 
-    fn send(&self, envelope: Envelope) {
+    fn send(&mut self, envelope: Envelope) {
         fail::fail_point!("replication::before_send");
-        if let Some(peer) = self.peers.get(&envelope.to) {
-            peer.send(envelope);
-        }
+        self.courier.send(envelope);
     }
 
     fn accept(&mut self, token: u64, index: Index, term: Term) {
@@ -284,7 +283,7 @@
     }
 }
 
-impl<M> Drop for Worker<M> {
+impl<M, C> Drop for Worker<M, C> {
     /// Also after a panic, callers must not wait for this replica or take it for the leader.
     fn drop(&mut self) {
         self.inbox.close();
--- a/src/stage.rs
+++ b/src/stage.rs
@@ -19,6 +19,7 @@
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::view::Customer;
+use crate::view::Route;
 use crate::view::View;
 
 /// The configuration that this VM holds.
@@ -28,6 +29,11 @@
 
     /// Whether a majority confirmed recently that no accepted security change is missing.
     fn is_fresh(&self, now: Instant) -> bool;
+
+    /// Whether requests with a key are served by a configuration that is not fresh.
+    fn admits_stale(&self) -> bool {
+        false
+    }
 }
 
 /// Admits requests within the customer's rate and burst.
@@ -129,6 +135,8 @@
     pub address: SocketAddr,
     /// Connections that this VM may have to it.
     pub connections: usize,
+    /// Why it was chosen, for the log.
+    pub reason: &'static str,
 }
 
 /// How one attempt at an upstream went.
@@ -146,6 +154,8 @@
     Died,
     /// Its answer was shorter than announced.
     Cut,
+    /// A reused connection died or was silent, which happens to idle connections as well.
+    Stale,
     /// It did not answer in time.
     Late,
     /// The caller went away; says nothing about the upstream.
@@ -181,6 +191,31 @@
     /// Whether the retry budget of the service allows one more attempt; takes it if so.
     fn take_retry(&self, service: &ServiceId) -> bool;
 
+    /// How long an idempotent request waits for the first byte before another upstream is tried;
+    /// `None` for as long as its deadline allows.
+    fn patience(&self, _route: &Route) -> Option<Duration> {
+        None
+    }
+
+    /// Whether a request whose reused connection died goes to the same upstream on a fresh one, instead
+    /// of to another upstream.
+    fn reconnects(&self) -> bool {
+        true
+    }
+
+    /// Whether another upstream may be tried without the retry budget after one that was not reached.
+    fn frees_unsent(&self) -> bool {
+        false
+    }
+
+    /// Whether `take_retry` would allow one more attempt now.
+    fn allows_retry(&self, _service: &ServiceId) -> bool {
+        true
+    }
+
+    /// Counts a request of a caller for the retry budget.
+    fn count(&self, _service: &ServiceId) {}
+
     /// Longest wait for the first byte on a reused connection before a fresh one is tried.
     fn reuse_limit(&self, route: &RouteId) -> Duration;
 }
@@ -190,6 +225,9 @@
     /// Whether the fingerprint is blocked.
     fn is_blocked(&self, fingerprint: &str, now: Instant) -> bool;
 
+    /// Learns that the request was answered.
+    fn clear(&self, _fingerprint: &str) {}
+
     /// Reports a connection that died in mid-request to all VMs.
     fn report(&self, fingerprint: &str) -> impl Future<Output = ()> + Send;
 }
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -8,6 +8,7 @@
 use async_std::channel;
 use async_std::channel::Receiver;
 use async_std::channel::Sender;
+use async_std::future;
 use async_std::task;
 
 use crate::kernel::Service;
@@ -15,6 +16,9 @@
 /// Shortest period a subscriber may ask for.
 pub const RESOLUTION: Duration = Duration::from_millis(10);
 
+/// Longest sleep of a timer without subscribers.
+const LONGEST_SLEEP: Duration = Duration::from_secs(60);
+
 struct Subscriber {
     period: Duration,
     due: Instant,
@@ -36,6 +40,8 @@
 /// Wakes its subscribers; one task serves them all.
 pub struct Timer {
     subscribers: Arc<Mutex<Vec<Subscriber>>>,
+    /// Wakes the task for a new subscriber.
+    subscribed: Sender<()>,
 }
 
 impl Timer {
@@ -43,14 +49,27 @@
     pub fn spawn() -> Self {
         let subscribers = Arc::new(Mutex::new(Vec::new()));
         let weak = Arc::downgrade(&subscribers);
+        let (subscribed, changed) = channel::bounded(1);
         task::spawn(async move {
+            let mut wait = RESOLUTION;
             loop {
-                task::sleep(RESOLUTION).await;
+                // A new subscriber may be due before the others. Each wake-up without work costs a
+                // small VM processor time, so the task sleeps until somebody is due.
+                if let Ok(Err(_)) = future::timeout(wait, changed.recv()).await {
+                    return;
+                }
                 let Some(list) = weak.upgrade() else { return };
-                fire(&mut list.lock().unwrap(), Instant::now());
+                let mut list = list.lock().unwrap();
+                let now = Instant::now();
+                fire(&mut list, now);
+                let next = list.iter().map(|s| s.due.saturating_duration_since(now)).min();
+                wait = next.unwrap_or(LONGEST_SLEEP).max(RESOLUTION);
             }
         });
-        Self { subscribers }
+        Self {
+            subscribers,
+            subscribed,
+        }
     }
 
     /// Ticks with the given period, rounded up to [`RESOLUTION`].
@@ -64,6 +83,8 @@
             .lock()
             .unwrap()
             .push(Subscriber { period, due, sender });
+        // A full channel means that the task is about to look anyway.
+        let _ = self.subscribed.try_send(());
         Ticks { receiver }
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -16,11 +16,12 @@
 use crate::id::KeyId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
+use crate::id::UpstreamId;
 use crate::id::Version;
 use crate::id::VmName;
 
 /// Rate and burst of a customer over the whole fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limit {
     /// Requests per second.
@@ -29,13 +30,23 @@
     pub burst: u32,
 }
 
+impl Limit {
+    /// Whether the customer has no limit: a rate of 0, which only a replaced configuration can hold.
+    pub fn is_none(self) -> bool {
+        self.rate == 0
+    }
+}
+
 /// A customer: the owner of keys and of a limit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Customer {
     /// Name of the customer.
     pub id: CustomerId,
     /// Rate and burst.
     pub limit: Limit,
+    /// Rank of the customer's requests, 0 first; it goes before the rank of the route.
+    #[serde(default)]
+    pub priority: Option<u8>,
     /// Version of the last change of this record.
     pub version: Version,
 }
@@ -55,19 +66,46 @@
     pub version: Version,
 }
 
-/// A route from a path prefix to a service.
+/// A part of the requests of a route.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Service that runs the part.
+    pub service: ServiceId,
+    /// Size of the part relative to the others.
+    pub weight: u32,
+}
+
+/// A route from a path prefix to a service.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route.
     pub id: RouteId,
+    /// Host that the route belongs to; empty for all hosts that have no route for the path.
+    #[serde(default)]
+    pub host: SmolStr,
     /// Path prefix, such as `/forecast`; it matches whole path segments.
     pub prefix: SmolStr,
     /// Service that runs the requests.
     pub service: ServiceId,
+    /// Services among which the requests are divided; empty if `service` runs all of them.
+    #[serde(default)]
+    pub split: Vec<Part>,
+    /// Upstreams to which one request may be sent at most; 0 leaves it to the proxy.
+    #[serde(default)]
+    pub attempts: u8,
+    /// Rank among the requests of a service, 0 first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Time in milliseconds within which an answer is of full use; 0 if none is stated.
+    #[serde(default)]
+    pub target_ms: u64,
     /// Whether requests without a key are admitted.
     pub open: bool,
     /// Whether all methods are idempotent on this route, also POST and PATCH.
     pub idempotent: bool,
+    /// Whether no request may run twice on this route, also GET; it goes before `idempotent`.
+    #[serde(default)]
+    pub once: bool,
     /// Whether non-idempotent requests must carry an `idempotency-key`.
     pub require_id: bool,
     /// Deadline in milliseconds of a request that states none; 0 leaves it to the VM's settings.
@@ -77,7 +115,7 @@
 }
 
 /// A service: a group of upstreams that answer the same requests.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRecord {
     /// Name of the service.
     pub id: ServiceId,
@@ -85,10 +123,38 @@
     pub floor: u32,
     /// SHA-256 of the secret with which upstreams join, in hexadecimal.
     pub join_digest: SmolStr,
+    /// Connections that one upstream accepts from all callers; 0 if none is stated.
+    #[serde(default)]
+    pub connections: u32,
     /// Version of the last change of this record.
     pub version: Version,
 }
 
+/// An upstream that said that it leaves; it gets no new requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departed {
+    /// Name of the upstream.
+    pub upstream: UpstreamId,
+    /// Start of the run that leaves, in milliseconds since 1970 by the upstream's clock; a later run
+    /// under the same name is another upstream.
+    pub born: u64,
+    /// Version of the change that recorded it.
+    pub version: Version,
+}
+
+/// What callers may send, for all routes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Largest request head in bytes; 0 if none is stated, as in all fields.
+    pub head_bytes: u64,
+    /// Largest request body in bytes.
+    pub body_bytes: u64,
+    /// Time in milliseconds in which a head must arrive.
+    pub head_ms: u64,
+    /// Time in milliseconds that a connection may stay open between requests.
+    pub idle_ms: u64,
+}
+
 /// An entry VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
@@ -132,32 +198,60 @@
     pub vms: BTreeMap<VmName, Vm>,
     /// The witness group.
     pub witnesses: Witnesses,
+    /// Number of the configuration that replaced all records last; 0 if none did.
+    #[serde(default)]
+    pub edition: u64,
+    /// Limits of the last replaced configuration.
+    #[serde(default)]
+    pub limits: CallerLimits,
+    /// Upstreams that leave, the latest last.
+    #[serde(default)]
+    pub departed: Vec<Departed>,
 }
 
 impl View {
-    /// The route of a path, without its query: the one with the longest prefix of whole segments.
+    /// The route of a path on any host, without its query: the one with the longest prefix of whole
+    /// segments.
     pub fn route(&self, path: &str) -> Option<&Route> {
+        self.route_on("", path)
+    }
+
+    /// The route of a path on a host, or else the route of the path on any host.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
+        let named = Some(host).filter(|h| !h.is_empty());
+        named
+            .and_then(|host| self.route_on(host, path))
+            .or_else(|| self.route(path))
+    }
+
+    fn route_on(&self, host: &str, path: &str) -> Option<&Route> {
         let mut end = path.len();
         while end > 0 {
-            if let Some(route) = self.route_at(&path[..end]) {
+            if let Some(route) = self.route_at(host, &path[..end]) {
                 return Some(route);
             }
             end = path[..end].rfind('/').unwrap_or(0);
         }
-        self.route_at("/").filter(|_| path.starts_with('/'))
+        self.route_at(host, "/").filter(|_| path.starts_with('/'))
     }
 
-    fn route_at(&self, prefix: &str) -> Option<&Route> {
-        let place = (Reverse(prefix.len()), prefix);
+    fn route_at(&self, host: &str, prefix: &str) -> Option<&Route> {
+        let place = (host, Reverse(prefix.len()), prefix);
         let found = self.routes.binary_search_by(|r| r.place().cmp(&place));
         found.ok().map(|n| &self.routes[n])
     }
 }
 
 impl Route {
-    /// Orders routes in a view; prefixes are unique.
-    pub fn place(&self) -> (Reverse<usize>, &str) {
-        (Reverse(self.prefix.len()), self.prefix.as_str())
+    /// Orders routes in a view; prefixes are unique on each host.
+    pub fn place(&self) -> (&str, Reverse<usize>, &str) {
+        (&self.host, Reverse(self.prefix.len()), &self.prefix)
+    }
+
+    /// All services that run requests of the route.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let single = self.split.is_empty().then_some(&self.service);
+        single.into_iter().chain(self.split.iter().map(|p| &p.service))
     }
 
     /// Whether the path lies under the prefix.
--- a/tests/limit_rules.rs
+++ b/tests/limit_rules.rs
@@ -32,6 +32,7 @@
         id: "c".into(),
         limit: Limit { rate, burst },
         version,
+        ..Customer::default()
     }
 }
 
--- a/tests/path/fakes.rs
+++ b/tests/path/fakes.rs
@@ -18,6 +18,7 @@
 use tide::http::Request;
 use tide::http::Response;
 use zinnialoom::code::Code;
+use zinnialoom::dialect::Dialect;
 use zinnialoom::error::Result;
 use zinnialoom::http;
 use zinnialoom::http::Running;
@@ -141,6 +142,7 @@
             upstream: address.to_string().into(),
             address,
             connections: self.connections.load(Ordering::SeqCst),
+            reason: "fake",
         })
     }
 
@@ -197,6 +199,7 @@
         require_id,
         limit_ms: 0,
         version: 1,
+        ..Route::default()
     }
 }
 
@@ -214,6 +217,7 @@
             id: id.into(),
             limit,
             version: 1,
+            ..Customer::default()
         };
         view.customers.insert(id.into(), customer);
     }
@@ -275,6 +279,8 @@
             body_limit: 1 << 20,
             read_limit: Duration::from_millis(400),
             request_limit: Duration::from_secs(3),
+            dialect: Dialect::default(),
+            soft_quarantine: false,
         };
         let registry = Registry::new();
         let proxy = Proxy::spawn(parts, settings, &registry).unwrap();
--- a/tests/support/limit_world.rs
+++ b/tests/support/limit_world.rs
@@ -137,6 +137,7 @@
                 id: CustomerId::from(format!("c{n}")),
                 limit: *limit,
                 version: 1,
+                ..Customer::default()
             })
             .collect();
         let group = Witnesses {
--- a/tests/support/local_fleet.rs
+++ b/tests/support/local_fleet.rs
@@ -56,6 +56,7 @@
         id: "c".into(),
         limit: Limit { rate: 40, burst: 30 },
         version: 1,
+        ..Customer::default()
     }
 }
 
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -15,6 +15,7 @@
         require_id: false,
         limit_ms: 0,
         version: 1,
+        ..Route::default()
     }
 }
 
