--- a/examples/detect_bench/world.rs
+++ b/examples/detect_bench/world.rs
@@ -219,6 +219,7 @@
             route: &route,
             customer: Some(&customer),
             avoid: &request.tries,
+            urgent: true,
             idempotent: true,
         };
         let now = self.instant(self.now);
--- a/src/fleet/hub.rs
+++ b/src/fleet/hub.rs
@@ -62,9 +62,15 @@
 /// must be in force.
 const PUSH_PERIOD: Duration = Duration::from_millis(50);
 /// How often successes and requests in flight are passed on; failures go at once.
-const NOTES_PERIOD: Duration = Duration::from_millis(300);
+const NOTES_PERIOD: Duration = Duration::from_millis(150);
+/// Every so many of these periods the other control VMs get them too: bytes between failure domains
+/// are paid for.
+const ABROAD_PERIODS: u64 = 2;
 /// Pause before a control VM that could not be reached is tried again.
 const DIAL_PERIOD: Duration = Duration::from_millis(250);
+/// Attempts after a start, and the pause between them.
+const START_DIALS: u32 = 8;
+const START_PAUSE: Duration = Duration::from_millis(40);
 /// A control VM that nobody is connected to is forgotten after this time.
 const KNOWN_LIMIT: Duration = Duration::from_secs(20);
 /// A call to the leader is given up after this time: the caller of the operator interface waits 1 s.
@@ -118,6 +124,10 @@
     usage: HashMap<ServiceId, Window>,
     /// Those of the own entry VMs that the other control VMs don't know yet.
     unsent: HashMap<ServiceId, Totals>,
+    /// Periods of `pass_notes` so far.
+    periods: u64,
+    /// Whether the other control VMs were told of requests in flight last time.
+    was_flying: bool,
     /// Version that was sent to the entry VMs.
     pushed: Version,
     /// Entry VMs by the control VMs that they are connected to, as last sent.
@@ -125,6 +135,15 @@
 }
 
 impl State {
+    /// Requests in flight of the entry VMs that are connected here.
+    fn own_flying(&self) -> HashMap<UpstreamId, u16> {
+        let mut own: HashMap<UpstreamId, u16> = HashMap::new();
+        for (id, count) in self.entries.values().flat_map(|e| &e.flying) {
+            *own.entry(id.clone()).or_default() += count;
+        }
+        own
+    }
+
     /// Forgets control VMs that are gone; voters are known from the log.
     fn forget_controls(&mut self, now: Instant) {
         for vm in self.controls.keys() {
@@ -152,6 +171,8 @@
             notes: Default::default(),
             usage: Default::default(),
             unsent: Default::default(),
+            periods: Default::default(),
+            was_flying: Default::default(),
             pushed: Default::default(),
             sent: Default::default(),
         }
@@ -226,7 +247,14 @@
         }
         let shared = Arc::clone(&self.shared);
         self.jobs.spawn(async move { shared.accept(listener).await });
-        self.shared.dial();
+        let starter = Arc::clone(&self.shared);
+        self.jobs.spawn(async move {
+            // Processes that start together find each other as soon as the last one listens.
+            for _ in 0..START_DIALS {
+                starter.dial();
+                task::sleep(START_PAUSE).await;
+            }
+        });
         type Work = fn(&Arc<Shared>);
         let works: [(Duration, Work); 5] = [
             (PUSH_PERIOD, Shared::push),
@@ -774,15 +802,11 @@
     }
 
     fn pass_notes(self: &Arc<Self>) {
-        let mut state = self.state.lock().unwrap();
-        let notes: Vec<Note> = state.notes.drain().map(|(_, n)| n).collect();
-        if !notes.is_empty() {
-            send_all(&state, None, &Frame::Notes(notes));
-        }
         let now = Instant::now();
-        let unsent = Frame::Usage(state.unsent.drain().collect());
-        for peer in state.controls.values() {
-            peer.link.send(&unsent);
+        let mut state = self.state.lock().unwrap();
+        state.periods += 1;
+        if state.periods.is_multiple_of(ABROAD_PERIODS) {
+            self.pass_abroad(&mut state);
         }
         let window = self.window;
         let totals = state
@@ -790,27 +814,38 @@
             .iter_mut()
             .map(|(id, w)| (id.clone(), w.totals(now, window)));
         let totals = Frame::Usage(totals.collect());
-        for peer in state.entries.values() {
-            peer.link.send(&totals);
-        }
-        let mut own: HashMap<UpstreamId, u16> = HashMap::new();
-        for (id, count) in state.entries.values().flat_map(|e| &e.flying) {
-            *own.entry(id.clone()).or_default() += count;
-        }
-        let mut all = own.clone();
+        let mut all = state.own_flying();
         for (id, count) in state.controls.values().flat_map(|c| &c.flying) {
             *all.entry(id.clone()).or_default() += count;
         }
-        let own = Frame::Flying(own.into_iter().collect());
-        for peer in state.controls.values() {
-            peer.link.send(&own);
-        }
         let all = Frame::Flying(all.into_iter().collect());
         for peer in state.entries.values() {
+            peer.link.send(&totals);
             peer.link.send(&all);
         }
     }
 
+    /// Sends successes, retry counts and requests in flight to the other control VMs, and the successes
+    /// to the own entry VMs.
+    fn pass_abroad(&self, state: &mut State) {
+        let notes: Vec<Note> = state.notes.drain().map(|(_, n)| n).collect();
+        if !notes.is_empty() {
+            send_all(state, None, &Frame::Notes(notes));
+        }
+        let usage: Vec<(ServiceId, Totals)> = state.unsent.drain().collect();
+        let flying: Vec<(UpstreamId, u16)> = state.own_flying().into_iter().collect();
+        let is_idle = usage.is_empty() && flying.is_empty() && !state.was_flying;
+        state.was_flying = !flying.is_empty();
+        if is_idle {
+            return;
+        }
+        let (usage, flying) = (Frame::Usage(usage), Frame::Flying(flying));
+        for peer in state.controls.values() {
+            peer.link.send(&usage);
+            peer.link.send(&flying);
+        }
+    }
+
     fn beat(self: &Arc<Self>) {
         let now = Instant::now();
         let Ok(replication) = self.replication() else {
--- a/src/fleet/steer.rs
+++ b/src/fleet/steer.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
+use crate::code::Code;
 use crate::fleet::outlook::Outlook;
 use crate::fleet::outlook::Standing;
 use crate::fleet::roster::Listed;
@@ -35,7 +36,7 @@
 /// Cost of an upstream that is slow after its start.
 const COLD: f32 = 0.5;
 /// Candidates that are compared.
-const CANDIDATES: usize = 3;
+const CANDIDATES: usize = 4;
 
 /// What an upstream is wanted for.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +45,8 @@
     pub service: &'a ServiceId,
     /// Whether the request may be lost at the upstream, because it can be sent again.
     pub may_test: bool,
+    /// Requests in flight at an upstream, as a part of its slots, at which it is full for this request.
+    pub full: f32,
     /// Upstreams that were tried.
     pub tried: &'a [UpstreamId],
 }
@@ -90,13 +93,16 @@
     }
 
     /// Chooses an upstream; it counts as in flight until `end`.
+    ///
+    /// # Errors
+    /// `NoUpstream` if there is none, `Overloaded` if all that are left are full.
     pub fn choose(
         &mut self,
         now: Instant,
         roster: &Roster,
         outlook: &Outlook,
         want: &Want<'_>,
-    ) -> Option<Choice> {
+    ) -> Result<Choice, Code> {
         let listed: Vec<&Listed> = roster
             .iter()
             .filter(|l| l.report.service == *want.service && l.report.state == State::Ready)
@@ -115,22 +121,45 @@
             let due: Vec<&Listed> = open
                 .iter()
                 .copied()
-                .filter(|l| standing(l) != Standing::Sound && self.is_due(now, outlook, &l.report.upstream))
+                .filter(|l| standing(l) != Standing::Sound && self.load(l) < want.full)
+                .filter(|l| self.is_due(now, outlook, &l.report.upstream))
                 .collect();
             if let Some(one) = self.any(&due) {
-                return Some(self.take(now, one, standing(one), true));
+                return Ok(self.take(now, one, standing(one), true));
             }
         }
-        let best = open.iter().map(|l| standing(l)).max()?;
-        let top: Vec<&Listed> = open.iter().copied().filter(|l| standing(l) == best).collect();
-        let one = match best {
+        let mut full = false;
+        for best in [Standing::Sound, Standing::Unknown, Standing::Suspect] {
+            let tier: Vec<&Listed> = open.iter().copied().filter(|l| standing(l) == best).collect();
+            let top: Vec<&Listed> = tier
+                .iter()
+                .copied()
+                .filter(|l| self.load(l) < want.full)
+                .collect();
+            full |= top.len() < tier.len();
             // Without a better one, the upstream whose failure is longest ago is the best guess.
-            Standing::Suspect => top
-                .into_iter()
-                .min_by_key(|l| (outlook.failed_at(&l.report.upstream), l.report.upstream.clone()))?,
-            _ => self.least(now, outlook, &top)?,
-        };
-        Some(self.take(now, one, best, false))
+            let one = match best {
+                Standing::Suspect => top
+                    .into_iter()
+                    .min_by_key(|l| (outlook.failed_at(&l.report.upstream), l.report.upstream.clone())),
+                _ => self.least(now, outlook, &top),
+            };
+            if let Some(one) = one {
+                return Ok(self.take(now, one, best, false));
+            }
+        }
+        Err(match full {
+            true => Code::Overloaded,
+            false => Code::NoUpstream,
+        })
+    }
+
+    /// Requests in flight as a part of the slots.
+    pub fn load(&self, one: &Listed) -> f32 {
+        let id = &one.report.upstream;
+        let local = self.locals.get(id).map_or(0, |l| l.flying) as f32;
+        let others = self.others.get(id).copied().unwrap_or_default();
+        (local + others) / one.report.slots.max(1) as f32
     }
 
     /// The upstream with the least cost among a few random ones, most of them of the own domain.
@@ -157,16 +186,13 @@
 
     fn cost(&self, now: Instant, outlook: &Outlook, one: &Listed) -> f32 {
         let id = &one.report.upstream;
-        let local = self.locals.get(id).map_or(0, |l| l.flying) as f32;
-        let others = self.others.get(id).copied().unwrap_or_default();
-        let load = (local + others) / one.report.slots.max(1) as f32;
         let abroad = if one.report.domain == self.domain {
             0.0
         } else {
             ABROAD
         };
         let cold = if one.is_cold(now) { COLD } else { 0.0 };
-        load + abroad + cold + outlook.doubt(id)
+        self.load(one) + abroad + cold + outlook.doubt(id)
     }
 
     fn any<'a>(&mut self, from: &[&'a Listed]) -> Option<&'a Listed> {
--- a/src/fleet/uplink.rs
+++ b/src/fleet/uplink.rs
@@ -82,7 +82,7 @@
 /// Failures that occur together travel in one message.
 const FLUSH_DELAY: Duration = Duration::from_millis(5);
 /// How often successes are sent.
-const NOTES_PERIOD: Duration = Duration::from_millis(300);
+const NOTES_PERIOD: Duration = Duration::from_millis(150);
 /// Expiry and reports of token grants.
 const WALLET_PERIOD: Duration = Duration::from_millis(100);
 /// Longest wait for a token; a grant takes two round trips between failure domains.
@@ -101,6 +101,11 @@
 const CRASHES_KEPT: usize = 2_000;
 /// Memory of the latency estimate, in requests.
 const LATENCY_GAIN: f64 = 0.1;
+/// Requests in flight at an upstream, as a part of its slots, at which it is full. At twice the slots a
+/// request waits for about one other, after which its answer is still in time; beyond that all answers
+/// come late. Less urgent requests leave room for urgent ones.
+const FULL_URGENT: f32 = 2.0;
+const FULL: f32 = 1.6;
 /// Longer than any request; see `Chooser::reuse_limit` of the uplink.
 const REUSE_LIMIT: Duration = Duration::from_secs(3_600);
 /// Patience in mean deviations above the mean, and its bounds as parts of the route's target.
@@ -581,6 +586,12 @@
         Duration::from_secs_f64(wait.clamp(target * PATIENCE_LEAST, target))
     }
 
+    /// Whether an upstream has more requests than slots.
+    fn is_queueing(&self, id: &UpstreamId) -> bool {
+        let listed = self.roster.get(id);
+        listed.is_some_and(|l| self.steer.load(l) > 1.0)
+    }
+
     /// Target of a route in seconds, 0 if it has none.
     fn target(&self, route: &RouteId) -> f64 {
         let found = self.view.routes.iter().find(|r| r.id == *route);
@@ -697,12 +708,16 @@
         let vms = state.entries.len();
         let budget = state.budgets.entry(ask.service.clone()).or_default();
         let want = Want {
+            full: match ask.urgent {
+                true => FULL_URGENT,
+                false => FULL,
+            },
             may_test: ask.idempotent && budget.allows(now, &self.shared.bound, vms, Purpose::Test),
             service: ask.service,
             tried: ask.avoid,
         };
         let choice = state.steer.choose(now, &state.roster, &state.outlook, &want);
-        let choice = choice.ok_or(Code::NoUpstream)?;
+        let choice = choice.map_err(|code| Error::new(code, code.text()))?;
         let report = choice.listed.report;
         let stated = state.view.services.get(ask.service).map_or(0, |s| s.connections);
         let share = f64::from(stated) * CONNECTIONS_USED / state.entries.len().max(1) as f64;
@@ -724,7 +739,6 @@
     fn finish(&self, pick: Pick, sample: Sample) {
         let now = Instant::now();
         let mut state = self.shared.state.lock().unwrap();
-        state.steer.end(&pick.upstream);
         let mut is_slow = false;
         match sample.attempt {
             Attempt::Shed => state.steer.shed(now, &pick.upstream),
@@ -746,7 +760,9 @@
             }
             _ => state.steer.reached(&pick.upstream),
         }
-        if !is_slow {
+        let queued = sample.attempt == Attempt::Late && state.is_queueing(&pick.upstream);
+        state.steer.end(&pick.upstream);
+        if !is_slow && !queued {
             state.note(now, &pick.upstream, sample.attempt);
         }
         let is_urgent = state
@@ -768,6 +784,14 @@
         true
     }
 
+    fn queues(&self) -> bool {
+        false
+    }
+
+    fn is_urgent(&self, route: &Route) -> bool {
+        self.shared.state.lock().unwrap().purpose(route) == Purpose::Urgent
+    }
+
     fn allows_retry(&self, route: &Route) -> bool {
         let mut state = self.shared.state.lock().unwrap();
         let (vms, purpose) = (state.entries.len(), state.purpose(route));
@@ -791,6 +815,10 @@
 
     fn suspect(&self, pick: &Pick) {
         let mut state = self.shared.state.lock().unwrap();
+        // A queue explains the wait: no sign of a gray failure.
+        if state.is_queueing(&pick.upstream) {
+            return;
+        }
         state.note(Instant::now(), &pick.upstream, Attempt::Late);
         drop(state);
         // A full channel means that a flush is due anyway.
--- a/src/proxy/queue.rs
+++ b/src/proxy/queue.rs
@@ -98,7 +98,7 @@
         let mut services = self.queue.services.lock().unwrap();
         if !services.contains_key(&job.route.service) {
             match choose(self, job, tried) {
-                Err(e) if e.code == Code::Overloaded => {}
+                Err(e) if e.code == Code::Overloaded && self.parts.chooser.queues() => {}
                 turn => return turn.map(Ok),
             }
         }
@@ -205,6 +205,7 @@
         customer: job.customer.as_ref(),
         avoid: tried,
         idempotent: job.idempotent,
+        urgent: shared.parts.chooser.is_urgent(&job.route),
     };
     let pick = shared.parts.chooser.choose(&ask)?;
     Ok(InFlight::new(shared, job, pick))
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -39,8 +39,8 @@
 mod member;
 mod message;
 
-/// The first wait for a leader after a start is this much shorter than later ones.
-const BOOT_PART: u32 = 3;
+/// The wait for a leader after a start or a split vote is this much shorter than others.
+const SHORT_PART: u32 = 3;
 
 /// Settings of a replica.
 #[derive(Debug, Clone)]
@@ -269,7 +269,7 @@
         if replica.settings.is_open {
             // After a restart of the whole group nobody leads. The pre-vote keeps a replica that
             // starts alone from disturbing a leader.
-            replica.deadline = now + (replica.deadline - now) / BOOT_PART;
+            replica.shorten_deadline(now);
         }
         replica
     }
@@ -467,6 +467,10 @@
         self.out.push(Output::Send(envelope));
     }
 
+    fn shorten_deadline(&mut self, now: Instant) {
+        self.deadline = now + (self.deadline - now) / SHORT_PART;
+    }
+
     fn reset_deadline(&mut self, now: Instant) {
         let election = self.settings.election;
         let spread = self.rng.random_range(Duration::ZERO..=election);
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -36,6 +36,11 @@
         self.role = Role::Candidate;
         self.leader = None;
         self.reset_deadline(now);
+        if self.settings.is_open {
+            // The pre-vote showed that a majority hears no leader, so after a split vote the next
+            // round need not wait for one.
+            self.shorten_deadline(now);
+        }
         self.save_hard(self.hard.term + 1, Some(self.hard.id));
         self.votes = [self.hard.id].into();
         let body = Message::Vote {
--- a/src/stage.rs
+++ b/src/stage.rs
@@ -122,6 +122,8 @@
     pub avoid: &'a [UpstreamId],
     /// Whether the request may run twice without harm.
     pub idempotent: bool,
+    /// Whether the request is among the most urgent of its service.
+    pub urgent: bool,
 }
 
 /// A chosen upstream; it counts as in flight until it is given back to `finish`.
@@ -206,6 +208,17 @@
         true
     }
 
+    /// Whether requests wait in this process while all upstreams are at their cap, instead of being
+    /// refused at once.
+    fn queues(&self) -> bool {
+        true
+    }
+
+    /// Whether a route is among the most urgent of its service.
+    fn is_urgent(&self, _route: &Route) -> bool {
+        true
+    }
+
     /// Whether another upstream may be tried without the retry budget after one that was not reached.
     fn frees_unsent(&self) -> bool {
         false
--- a/tests/fleet/steer.rs
+++ b/tests/fleet/steer.rs
@@ -56,9 +56,13 @@
         let want = Want {
             service: &service,
             may_test,
+            full: 2.0,
             tried,
         };
-        let choice = self.steer.choose(self.now, &self.roster, &self.outlook, &want)?;
+        let choice = self
+            .steer
+            .choose(self.now, &self.roster, &self.outlook, &want)
+            .ok()?;
         self.steer.end(&choice.listed.report.upstream);
         Some(choice)
     }
@@ -177,3 +181,17 @@
     }
     assert!(lost * 100 <= sent * 3, "{lost} of {sent} lost");
 }
+
+/// The load of a day when eight upstreams turn slow while requests keep coming: every upstream has twice as
+/// many requests as slots.
+///
+/// Guards against requests that wait until all answers come late, instead of being refused at once.
+#[test]
+fn a_service_without_room_refuses_at_once() {
+    let mut world = World::new(4);
+    (0..4).for_each(|n| world.learn(&format!("u{n}"), 1, 0));
+    (0..3).for_each(|n| world.steer.set_others(&format!("u{n}").into(), 12.0));
+    assert_eq!(world.choose(false, &[]).unwrap().listed.report.upstream, "u3");
+    world.steer.set_others(&"u3".into(), 12.0);
+    assert!(world.choose(false, &[]).is_none());
+}
