--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,6 +7,7 @@
 
 pub mod budget;
 pub mod entries;
+pub mod followed;
 pub mod hub;
 pub mod link;
 pub mod message;
--- a/src/fleet/hub.rs
+++ b/src/fleet/hub.rs
@@ -105,6 +105,22 @@
     flying: HashMap<UpstreamId, u16>,
 }
 
+/// Successes of an upstream, and when the last request of them was sent.
+struct Kept {
+    note: Note,
+    sent: Instant,
+}
+
+impl Kept {
+    fn note(self, now: Instant) -> Note {
+        let age = now.saturating_duration_since(self.sent).as_millis();
+        Note {
+            age_ms: u16::try_from(age).unwrap_or(u16::MAX),
+            ..self.note
+        }
+    }
+}
+
 struct State {
     roster: Roster,
     entries: HashMap<VmName, EntryPeer>,
@@ -119,7 +135,9 @@
     lease: Option<Lease>,
     calls: HashMap<u64, oneshot::Sender<Outcome>>,
     /// Successes that wait to be passed on.
-    notes: HashMap<UpstreamId, Note>,
+    notes: HashMap<UpstreamId, Kept>,
+    /// When a failure of an upstream was told last.
+    failed: HashMap<UpstreamId, Instant>,
     /// Requests and repeats of the fleet.
     usage: HashMap<ServiceId, Window>,
     /// Those of the own entry VMs that the other control VMs don't know yet.
@@ -135,6 +153,32 @@
 }
 
 impl State {
+    /// Keeps the successes of a note for the next tick; returns what must be told at once.
+    fn keep_note(&mut self, now: Instant, mut note: Note) -> Option<Note> {
+        let age = Duration::from_millis(note.age_ms.into());
+        let sent = now.checked_sub(age).unwrap_or(now);
+        // Successes of requests that were sent before a failure must not count after it.
+        if self.failed.get(&note.upstream).is_some_and(|at| sent <= *at) {
+            note.good = 0;
+        }
+        if note.is_urgent() {
+            self.notes.remove(&note.upstream);
+            if note.hard > 0 {
+                self.failed.insert(note.upstream.clone(), now);
+            }
+            return Some(note);
+        }
+        if note.good > 0 {
+            let kept = self.notes.entry(note.upstream.clone()).or_insert_with(|| Kept {
+                note: Note::of(&note.upstream),
+                sent,
+            });
+            kept.note.add(&note);
+            kept.sent = kept.sent.max(sent);
+        }
+        None
+    }
+
     /// Requests in flight of the entry VMs that are connected here.
     fn own_flying(&self) -> HashMap<UpstreamId, u16> {
         let mut own: HashMap<UpstreamId, u16> = HashMap::new();
@@ -173,6 +217,7 @@
             unsent: Default::default(),
             periods: Default::default(),
             was_flying: Default::default(),
+            failed: Default::default(),
             pushed: Default::default(),
             sent: Default::default(),
         }
@@ -707,20 +752,13 @@
 
     /// Passes failures on at once and keeps successes for the next tick.
     fn learn(&self, from: Option<&Peer>, notes: Vec<Note>) {
+        let now = Instant::now();
         let mut state = self.state.lock().unwrap();
         match from {
             Some(Peer::Entry(vm)) => {
                 let mut urgent = Vec::new();
                 for note in notes {
-                    let mut all = state.notes.remove(&note.upstream).unwrap_or_else(|| Note {
-                        upstream: note.upstream.clone(),
-                        ..Note::default()
-                    });
-                    all.add(&note);
-                    match all.is_urgent() {
-                        true => urgent.push(all),
-                        false => drop(state.notes.insert(all.upstream.clone(), all)),
-                    }
+                    urgent.extend(state.keep_note(now, note));
                 }
                 if !urgent.is_empty() {
                     send_all(&state, Some(vm), &Frame::Notes(urgent));
@@ -790,6 +828,8 @@
         }
         state.pushed = view.version;
         state.roster.depart(&view.departed);
+        let State { roster, failed, .. } = &mut *state;
+        failed.retain(|id, _| roster.get(id).is_some());
         let mut behind: Vec<(Link, Version)> = Vec::new();
         for peer in state.entries.values_mut().filter(|p| p.version < view.version) {
             behind.push((peer.link.clone(), peer.version));
@@ -828,7 +868,8 @@
     /// Sends successes, retry counts and requests in flight to the other control VMs, and the successes
     /// to the own entry VMs.
     fn pass_abroad(&self, state: &mut State) {
-        let notes: Vec<Note> = state.notes.drain().map(|(_, n)| n).collect();
+        let now = Instant::now();
+        let notes: Vec<Note> = state.notes.drain().map(|(_, k)| k.note(now)).collect();
         if !notes.is_empty() {
             send_all(state, None, &Frame::Notes(notes));
         }
--- a/src/fleet/outlook.rs
+++ b/src/fleet/outlook.rs
@@ -42,11 +42,19 @@
     pub soft: u16,
     /// Connections that broke, and answers that were cut or wrong.
     pub hard: u16,
-    /// Time since the last good answer, in milliseconds.
+    /// Time since the request of the last good answer was sent, in milliseconds.
     pub age_ms: u16,
 }
 
 impl Note {
+    /// A note about an upstream without results.
+    pub fn of(upstream: &UpstreamId) -> Self {
+        Self {
+            upstream: upstream.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Adds the results of a later note about the same upstream.
     pub fn add(&mut self, later: &Note) {
         self.good = self.good.saturating_add(later.good);
--- a/src/fleet/uplink.rs
+++ b/src/fleet/uplink.rs
@@ -26,6 +26,8 @@
 use crate::fleet::budget::Budget;
 use crate::fleet::budget::Purpose;
 use crate::fleet::budget::Totals;
+use crate::fleet::followed::Followed;
+use crate::fleet::followed::Left;
 use crate::fleet::hub;
 use crate::fleet::link;
 use crate::fleet::link::BEAT;
@@ -37,6 +39,7 @@
 use crate::fleet::message::Sync;
 use crate::fleet::outlook::Note;
 use crate::fleet::outlook::Outlook;
+use crate::fleet::outlook::Standing;
 use crate::fleet::roster;
 use crate::fleet::roster::Announcement;
 use crate::fleet::roster::Roster;
@@ -55,7 +58,6 @@
 use crate::id::VmName;
 use crate::job::Jobs;
 use crate::kernel::Service;
-use crate::rendezvous;
 use crate::stage::Attempt;
 use crate::stage::ChooseAsk;
 use crate::stage::Chooser;
@@ -75,8 +77,9 @@
 
 /// Pause after all known control VMs were tried.
 const DIAL_PAUSE: Duration = Duration::from_millis(150);
-/// A control VM without a leader is left after this time: an election takes about as long.
-const STALE_LIMIT: Duration = Duration::from_millis(600);
+/// A control VM without a leader is left after this time. Together with the time in which a control VM
+/// notices that it is cut off, it is part of the 2 s in which a change must be in force.
+const STALE_LIMIT: Duration = Duration::from_millis(300);
 /// The configuration counts as confirmed for this long after a control VM with a leader was heard.
 const FRESH_LIMIT: Duration = Duration::from_millis(1_500);
 /// Failures that occur together travel in one message.
@@ -150,6 +153,7 @@
     outlook: Outlook,
     steer: Steer,
     budgets: HashMap<ServiceId, Budget>,
+    /// Results that the others do not know yet, and when the last good one of each upstream was sent.
     notes: HashMap<UpstreamId, (Note, Instant)>,
     wallet: Wallet,
     waiters: HashMap<Ticket, oneshot::Sender<()>>,
@@ -290,7 +294,8 @@
         }
     }
 
-    fn note(&mut self, now: Instant, upstream: &UpstreamId, attempt: Attempt) {
+    /// Learns how a request ended that was sent at `sent`, and keeps it for the other VMs.
+    fn note(&mut self, now: Instant, upstream: &UpstreamId, attempt: Attempt, sent: Instant) {
         let mut one = Note {
             upstream: upstream.clone(),
             ..Note::default()
@@ -301,22 +306,35 @@
             Attempt::Died | Attempt::Cut => one.hard = 1,
             Attempt::Shed | Attempt::Refused | Attempt::Cancelled => return,
         }
-        self.outlook.learn(now, &one);
-        let (note, at) = self.notes.entry(upstream.clone()).or_insert_with(|| {
-            (
-                Note {
-                    good: 0,
-                    soft: 0,
-                    hard: 0,
-                    ..one.clone()
-                },
-                now,
-            )
-        });
-        note.add(&one);
+        // An upstream that fails new requests still answers those that it runs.
+        if one.good > 0 && self.outlook.failed_at(upstream).is_some_and(|at| sent <= at) {
+            return;
+        }
+        one.age_ms = millis(now.saturating_duration_since(sent));
+        self.learn(now, &one);
+        let kept = self
+            .notes
+            .entry(upstream.clone())
+            .or_insert_with(|| (Note::of(upstream), now));
+        kept.0.add(&one);
         if one.good > 0 {
-            *at = now;
+            kept.1 = kept.1.max(sent);
+        }
+    }
+
+    /// Learns from a note and logs when it changes what this VM believes.
+    fn learn(&mut self, now: Instant, note: &Note) {
+        let before = self.outlook.standing(now, &note.upstream);
+        self.outlook.learn(now, note);
+        let after = self.outlook.standing(now, &note.upstream);
+        if before == after || (before != Standing::Suspect && after != Standing::Suspect) {
+            return;
         }
+        let (before, after): (&str, &str) = (before.into(), after.into());
+        info!(
+            "upstream judged: upstream={} before={before} after={after} good={} soft={} hard={} age_ms={}",
+            note.upstream, note.good, note.soft, note.hard, note.age_ms
+        );
     }
 
     fn drop_unlisted(&mut self) {
@@ -327,46 +345,42 @@
     }
 }
 
+fn millis(time: Duration) -> u16 {
+    u16::try_from(time.as_millis()).unwrap_or(u16::MAX)
+}
+
 impl Shared {
-    /// Connects to one control VM after the other, those of the own failure domain first.
+    /// Connects to one control VM after the other.
     async fn follow(&self) {
+        let mut choice = Followed::default();
         loop {
-            for vm in self.candidates() {
-                let Ok(address) = vm.parse::<SocketAddr>() else {
-                    warn!("control VM {vm} has no address as its name");
-                    continue;
-                };
-                match link::connect(address).await {
-                    Ok((link, reader)) => self.stay(&vm, link, reader).await,
-                    Err(e) => info!("control VM not reached: vm={vm} reason=\"{e}\""),
-                }
-            }
-            task::sleep(DIAL_PAUSE).await;
+            let Some(vm) = self.candidate(&choice) else {
+                task::sleep(DIAL_PAUSE).await;
+                choice.start_round();
+                continue;
+            };
+            choice.try_now(&vm);
+            let Ok(address) = vm.parse::<SocketAddr>() else {
+                warn!("control VM {vm} has no address as its name");
+                continue;
+            };
+            let reason = match link::connect(address).await {
+                Ok((link, reader)) => self.stay(&vm, link, reader, &choice).await,
+                Err(e) => Left::Failed(e.to_string()),
+            };
+            warn!("control VM lost: vm={vm} reason=\"{reason}\"");
+            choice.leave(&vm, Instant::now(), &reason);
         }
     }
 
-    fn candidates(&self) -> Vec<VmName> {
+    fn candidate(&self, choice: &Followed) -> Option<VmName> {
         let seeds = self.seeds.lock().unwrap().clone();
         let state = self.state.lock().unwrap();
-        let own = &state.entry;
-        let (near, far): (Vec<&ControlVm>, Vec<&ControlVm>) =
-            state.controls.iter().partition(|c| c.domain == own.domain);
-        // Each VM has its own order, so that the VMs spread over the control VMs.
-        let key: &[&[u8]] = &[b"follow", own.vm.as_bytes()];
-        let ranked = |list: Vec<&ControlVm>| -> Vec<VmName> {
-            let names: Vec<VmName> = list.into_iter().map(|c| c.vm.clone()).collect();
-            rendezvous::ranked(key, &names).into_iter().cloned().collect()
-        };
-        let mut all = ranked(near);
-        all.extend(ranked(far));
-        all.extend(rendezvous::ranked(key, &seeds).into_iter().cloned());
-        let mut seen = std::collections::HashSet::new();
-        all.retain(|vm| seen.insert(vm.clone()));
-        all
+        choice.next(Instant::now(), &state.entry, &state.controls, &seeds)
     }
 
     /// Follows one control VM until the connection ends or a better one is known.
-    async fn stay(&self, vm: &VmName, link: Link, mut reader: Reader) {
+    async fn stay(&self, vm: &VmName, link: Link, mut reader: Reader, choice: &Followed) -> Left {
         {
             let mut state = self.state.lock().unwrap();
             link.send(&state.hello());
@@ -378,7 +392,7 @@
         let reason = loop {
             let frame = match reader.next().await {
                 Ok(frame) => frame,
-                Err(e) => break e.to_string(),
+                Err(e) => break Left::Failed(e.to_string()),
             };
             let now = Instant::now();
             if let Frame::Alive { is_fresh, .. } = frame {
@@ -386,23 +400,22 @@
             }
             self.handle(now, frame);
             if stale.is_some_and(|at| now.saturating_duration_since(at) >= STALE_LIMIT) {
-                break "it hears no leader".into();
+                break Left::Stale;
             }
-            if now.saturating_duration_since(started) >= FRESH_LIMIT && self.has_nearer(vm) {
-                break "another is nearer".into();
+            let settled = now.saturating_duration_since(started) >= FRESH_LIMIT;
+            if settled && stale.is_none() && self.has_nearer(now, vm, choice) {
+                break Left::Nearer;
             }
         };
         link.close();
         self.state.lock().unwrap().link = None;
-        warn!("control VM lost: vm={vm} reason=\"{reason}\"");
+        reason
     }
 
     /// Whether a control VM of the own failure domain is known while another is followed.
-    fn has_nearer(&self, vm: &VmName) -> bool {
+    fn has_nearer(&self, now: Instant, vm: &VmName, choice: &Followed) -> bool {
         let state = self.state.lock().unwrap();
-        let near = |c: &&ControlVm| c.domain == state.entry.domain;
-        let mut near = state.controls.iter().filter(near).map(|c| &c.vm).peekable();
-        near.peek().is_some() && !near.any(|c| c == vm)
+        choice.has_nearer(now, vm, &state.entry, &state.controls)
     }
 
     fn handle(&self, now: Instant, frame: Frame) {
@@ -440,7 +453,7 @@
             }
             Frame::Notes(notes) => {
                 for note in &notes {
-                    state.outlook.learn(now, note);
+                    state.learn(now, note);
                 }
             }
             Frame::Flying(flying) => {
@@ -491,10 +504,9 @@
         let notes: Vec<Note> = state
             .notes
             .drain()
-            .map(|(_, (note, at))| {
-                let age = now.saturating_duration_since(at).as_millis();
-                let age_ms = u16::try_from(age).unwrap_or(u16::MAX);
-                Note { age_ms, ..note }
+            .map(|(_, (note, sent))| Note {
+                age_ms: millis(now.saturating_duration_since(sent)),
+                ..note
             })
             .collect();
         if !notes.is_empty() {
@@ -763,7 +775,8 @@
         let queued = sample.attempt == Attempt::Late && state.is_queueing(&pick.upstream);
         state.steer.end(&pick.upstream);
         if !is_slow && !queued {
-            state.note(now, &pick.upstream, sample.attempt);
+            let sent = now.checked_sub(sample.latency).unwrap_or(now);
+            state.note(now, &pick.upstream, sample.attempt, sent);
         }
         let is_urgent = state
             .notes
@@ -819,7 +832,8 @@
         if state.is_queueing(&pick.upstream) {
             return;
         }
-        state.note(Instant::now(), &pick.upstream, Attempt::Late);
+        let now = Instant::now();
+        state.note(now, &pick.upstream, Attempt::Late, now);
         drop(state);
         // A full channel means that a flush is due anyway.
         let _ = self.shared.urgent.try_send(());
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,6 +6,8 @@
 mod edition;
 #[path = "fleet/entries.rs"]
 mod entries;
+#[path = "fleet/followed.rs"]
+mod followed;
 #[path = "fleet/group.rs"]
 mod group;
 #[path = "fleet/link.rs"]
--- a/tests/fleet/steer.rs
+++ b/tests/fleet/steer.rs
@@ -136,9 +136,10 @@
     assert!(own(&mut world) < 300);
 }
 
-/// The load of a usual day at one user: 20 upstreams, three of ten of which break three of four
-/// connections for some 10 s, and 110 requests/s of which three of four may run once. The choice of the
-/// whole fleet is made here by one VM, whose news are late by 50 ms as in the fleet.
+/// The load of a usual day at one user: 20 upstreams, three of ten of which break three of four new
+/// connections for some 10 s while they still answer what they run, and 110 requests/s of 400 ms of which
+/// three of four may run once. The choice of the whole fleet is made here by one VM, whose news are late
+/// by 50 ms as in the fleet.
 ///
 /// Guards against losing more than 3 % of the requests that may run once; a choice at random loses 22 %.
 #[test]
@@ -148,7 +149,7 @@
     let window = Duration::from_secs(12);
     let mut bad = [false; 20];
     let start = world.now;
-    let mut news: Vec<(Instant, UpstreamId, bool)> = Vec::new();
+    let mut news: Vec<(Instant, Note)> = Vec::new();
     let (mut sent, mut lost) = (0, 0);
     let mut turn = 0;
     while world.now < start + Duration::from_secs(120) {
@@ -158,21 +159,23 @@
             bad[turn as usize % 20] = rng.random_bool(0.3);
             turn += 1;
         }
-        let (now, due) = (world.now, |at: Instant, now: Instant| at + MS * 50 <= now);
-        for (_, id, good) in news
-            .iter()
-            .filter(|(at, ..)| due(*at, now))
-            .cloned()
-            .collect::<Vec<_>>()
-        {
-            world.learn(&id, good.into(), (!good).into());
-        }
-        news.retain(|(at, ..)| !due(*at, now));
+        let now = world.now;
+        let (due, later): (Vec<_>, Vec<_>) = news.into_iter().partition(|(at, _)| *at <= now);
+        news = later;
+        due.iter().for_each(|(_, note)| world.outlook.learn(now, note));
         let once = rng.random_bool(0.75);
         let id = world.choose(!once, &[]).unwrap().listed.report.upstream;
         let number: usize = id[1..].parse().unwrap();
         let fails = bad[number] && rng.random_bool(0.75);
-        news.push((now, id, !fails));
+        let wait = MS * if fails { 50 } else { 450 };
+        let note = Note {
+            upstream: id,
+            good: (!fails).into(),
+            hard: fails.into(),
+            age_ms: 450,
+            ..Note::default()
+        };
+        news.push((now + wait, note));
         // The first seconds, in which nothing is known, are no part of the target.
         if once && now > start + Duration::from_secs(2) {
             sent += 1;
