--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -206,9 +206,7 @@
     };
     let chooser = &shared.parts.chooser;
     let until = until.min(job.deadline);
-    let patience = chooser
-        .patience(&job.route, job.left())
-        .map(|p| flight.started + p);
+    let patience = chooser.patience(&job.route).map(|p| flight.started + p);
     let may_leave = job.idempotent && job.has_more() && chooser.allows_retry(&job.route);
     let first = patience.map_or(until, |p| until.min(p));
     let mut byte = answer::first_byte(&mut buffered, first).await;
