--- a/src/fleet/hub.rs
+++ b/src/fleet/hub.rs
@@ -161,11 +161,11 @@
         if self.failed.get(&note.upstream).is_some_and(|at| sent <= *at) {
             note.good = 0;
         }
-        if note.is_urgent() {
+        if note.hard > 0 {
             self.notes.remove(&note.upstream);
-            if note.hard > 0 {
-                self.failed.insert(note.upstream.clone(), now);
-            }
+            self.failed.insert(note.upstream.clone(), now);
+        }
+        if note.is_urgent() {
             return Some(note);
         }
         if note.good > 0 {
--- a/src/fleet/outlook.rs
+++ b/src/fleet/outlook.rs
@@ -103,7 +103,7 @@
         let record = self.all.entry(note.upstream.clone()).or_default();
         if note.good > 0 {
             let age = Duration::from_millis(note.age_ms.into());
-            record.succeed(now.checked_sub(age).unwrap_or(now), note.good);
+            record.succeed(now, now.checked_sub(age).unwrap_or(now), note.good);
         }
         if note.soft > 0 {
             record.doubt += f32::from(note.soft) * SOFT_DOUBT;
@@ -155,12 +155,13 @@
 }
 
 impl Record {
-    fn succeed(&mut self, at: Instant, count: u16) {
-        // A success before the failure says nothing about the time after it.
-        if self.bad_at.is_some_and(|bad| at <= bad) {
+    /// Counts successes that are told now; the last of their requests was sent at `sent`.
+    fn succeed(&mut self, now: Instant, sent: Instant, count: u16) {
+        // An upstream that fails new requests still answers those that it runs.
+        if self.bad_at.is_some_and(|bad| sent <= bad) {
             return;
         }
-        self.good_at = Some(self.good_at.map_or(at, |old| old.max(at)));
+        self.good_at = Some(now);
         self.streak = self.streak.saturating_add(count);
         self.doubt = (self.doubt - RELIEF * f32::from(count)).max(0.0);
         if self.streak >= STREAK {
