Test an upstream at once after its first failure

Change: the pause before a test grows with the failures in a row; two of five first tries of repeatable requests may test.

--- a/src/fleet/outlook.rs
+++ b/src/fleet/outlook.rs
@@ -87,6 +87,8 @@
     bad_at: Option<Instant>,
     /// Successes since the last failure.
     streak: u16,
+    /// Failures since the upstream was sound.
+    failures: u16,
     suspect: bool,
     doubt: f32,
 }
@@ -143,6 +145,11 @@
         self.all.get(id).map_or(0, |r| r.streak)
     }
 
+    /// Failures since the upstream was sound.
+    pub fn failures(&self, id: &UpstreamId) -> u16 {
+        self.all.get(id).map_or(0, |r| r.failures)
+    }
+
     /// When the last failure was learned.
     pub fn failed_at(&self, id: &UpstreamId) -> Option<Instant> {
         self.all.get(id).and_then(|r| r.bad_at)
@@ -166,12 +173,14 @@
         self.doubt = (self.doubt - RELIEF * f32::from(count)).max(0.0);
         if self.streak >= STREAK {
             self.suspect = false;
+            self.failures = 0;
         }
     }
 
     fn fail(&mut self, now: Instant) {
         self.bad_at = Some(now);
         self.streak = 0;
+        self.failures = self.failures.saturating_add(1);
         self.doubt = 0.0;
         self.suspect = true;
     }
--- a/src/fleet/steer.rs
+++ b/src/fleet/steer.rs
@@ -1,7 +1,7 @@
 //! Core: which upstream gets a request.
 //!
-//! A request that may run once, and the second try of any request, goes to a sound upstream. One in
-//! four first tries of a request that may be repeated tests an upstream that is unknown or suspect.
+//! A request that may run once, and the second try of any request, goes to a sound upstream. Two in
+//! five first tries of a request that may be repeated tests an upstream that is unknown or suspect.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,11 +21,13 @@
 use crate::id::UpstreamId;
 
 /// Share of the first tries of repeatable requests that test an upstream.
-const TEST_SHARE: f64 = 0.25;
+const TEST_SHARE: f64 = 0.4;
 /// This VM tests the same upstream again after this pause at the earliest.
 const TEST_PAUSE: Duration = Duration::from_millis(500);
-/// All VMs leave an upstream alone for this time after a failure that any of them saw.
-const FAILED_PAUSE: Duration = Duration::from_millis(700);
+/// All VMs leave an upstream alone after repeated failures: for this time after the second in a row, and
+/// this much longer after each further one, up to a number of steps.
+const FAILED_PAUSE: Duration = Duration::from_millis(250);
+const FAILED_STEPS: u16 = 4;
 /// Pause after an upstream said that it is full, and after a connection could not be made.
 const SHED_PAUSE: Duration = Duration::from_millis(150);
 const REFUSED_PAUSE: Duration = Duration::from_millis(400);
@@ -269,6 +271,9 @@
         let is_over = |at: Instant, pause| now.saturating_duration_since(at) >= pause;
         let tested = self.locals.get(id).and_then(|l| l.tested);
         let failed = outlook.failed_at(id).filter(|_| outlook.streak(id) == 0);
-        tested.is_none_or(|at| is_over(at, TEST_PAUSE)) && failed.is_none_or(|at| is_over(at, FAILED_PAUSE))
+        // One failure may be a lost answer of a sound upstream, so the first test follows at once.
+        let more = outlook.failures(id).saturating_sub(1).min(FAILED_STEPS);
+        let pause = FAILED_PAUSE * more.into();
+        tested.is_none_or(|at| is_over(at, TEST_PAUSE)) && failed.is_none_or(|at| is_over(at, pause))
     }
 }
