--- /dev/null
+++ b/src/fleet/hub/state.rs
@@ -0,0 +1,194 @@
+//! What a hub knows, and its connections.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::channel::oneshot;
+
+use super::SHARES;
+use crate::fleet::budget::Totals;
+use crate::fleet::budget::Window;
+use crate::fleet::entries::Entries;
+use crate::fleet::link;
+use crate::fleet::link::Link;
+use crate::fleet::message::ControlVm;
+use crate::fleet::message::EntryVm;
+use crate::fleet::message::Frame;
+use crate::fleet::message::Outcome;
+use crate::fleet::outlook::Note;
+use crate::fleet::roster::Roster;
+use crate::grant::Owner;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::id::Version;
+use crate::id::VmName;
+use crate::lease::Lease;
+
+/// A control VM that nobody is connected to is forgotten after this time.
+pub(super) const KNOWN_LIMIT: Duration = Duration::from_secs(20);
+
+/// An entry VM that is connected.
+pub(super) struct EntryPeer {
+    pub(super) link: Link,
+    /// Number of the connection: an earlier one of the same VM must not remove a later one.
+    pub(super) number: u64,
+    pub(super) entry: EntryVm,
+    pub(super) version: Version,
+    pub(super) flying: HashMap<UpstreamId, u16>,
+}
+
+/// A control VM that is connected.
+pub(super) struct ControlPeer {
+    pub(super) link: Link,
+    pub(super) number: u64,
+    pub(super) flying: HashMap<UpstreamId, u16>,
+}
+
+/// Successes of an upstream, and when the last request of them was sent.
+pub(super) struct Kept {
+    pub(super) note: Note,
+    pub(super) sent: Instant,
+}
+
+impl Kept {
+    pub(super) fn note(self, now: Instant) -> Note {
+        let age = now.saturating_duration_since(self.sent).as_millis();
+        Note {
+            age_ms: u16::try_from(age).unwrap_or(u16::MAX),
+            ..self.note
+        }
+    }
+}
+
+pub(super) struct State {
+    pub(super) roster: Roster,
+    pub(super) entries: HashMap<VmName, EntryPeer>,
+    pub(super) controls: HashMap<VmName, ControlPeer>,
+    pub(super) known: HashMap<VmName, ControlVm>,
+    /// When a known control VM was last connected or named by another.
+    pub(super) named: HashMap<VmName, Instant>,
+    pub(super) lists: Entries,
+    pub(super) own_list_changed: bool,
+    pub(super) lists_changed: bool,
+    pub(super) owner: Owner,
+    pub(super) lease: Option<Lease>,
+    pub(super) calls: HashMap<u64, oneshot::Sender<Outcome>>,
+    /// Successes that wait to be passed on.
+    pub(super) notes: HashMap<UpstreamId, Kept>,
+    /// When a failure of an upstream was told last.
+    pub(super) failed: HashMap<UpstreamId, Instant>,
+    /// Requests and repeats of the fleet.
+    pub(super) usage: HashMap<ServiceId, Window>,
+    /// Those of the own entry VMs that the other control VMs don't know yet.
+    pub(super) unsent: HashMap<ServiceId, Totals>,
+    /// Periods of `pass_notes` so far.
+    pub(super) periods: u64,
+    /// Whether the other control VMs were told of requests in flight last time.
+    pub(super) was_flying: bool,
+    /// Version that was sent to the entry VMs.
+    pub(super) pushed: Version,
+    /// Entry VMs by the control VMs that they are connected to, as last sent.
+    pub(super) sent: Vec<EntryVm>,
+}
+
+impl State {
+    /// Keeps the successes of a note for the next tick; returns what must be told at once.
+    pub(super) fn keep_note(&mut self, now: Instant, mut note: Note) -> Option<Note> {
+        let age = Duration::from_millis(note.age_ms.into());
+        let sent = now.checked_sub(age).unwrap_or(now);
+        // Successes of requests that were sent before a failure must not count after it.
+        if self.failed.get(&note.upstream).is_some_and(|at| sent <= *at) {
+            note.good = 0;
+        }
+        if note.hard > 0 {
+            self.notes.remove(&note.upstream);
+            self.failed.insert(note.upstream.clone(), now);
+        }
+        if note.is_urgent() {
+            return Some(note);
+        }
+        if note.good > 0 {
+            let kept = self.notes.entry(note.upstream.clone()).or_insert_with(|| Kept {
+                note: Note::of(&note.upstream),
+                sent,
+            });
+            kept.note.add(&note);
+            kept.sent = kept.sent.max(sent);
+        }
+        None
+    }
+
+    /// Requests in flight of the entry VMs that are connected here.
+    pub(super) fn own_flying(&self) -> HashMap<UpstreamId, u16> {
+        let mut own: HashMap<UpstreamId, u16> = HashMap::new();
+        for (id, count) in self.entries.values().flat_map(|e| &e.flying) {
+            *own.entry(id.clone()).or_default() += count;
+        }
+        own
+    }
+
+    /// Forgets control VMs that are gone; voters are known from the log.
+    pub(super) fn forget_controls(&mut self, now: Instant) {
+        for vm in self.controls.keys() {
+            self.named.insert(vm.clone(), now);
+        }
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < KNOWN_LIMIT;
+        self.named.retain(|_, at| is_recent(at));
+        let named = &self.named;
+        self.known.retain(|vm, _| named.contains_key(vm));
+    }
+
+    pub(super) fn new() -> Self {
+        Self {
+            roster: Default::default(),
+            entries: Default::default(),
+            controls: Default::default(),
+            known: Default::default(),
+            named: Default::default(),
+            lists: Default::default(),
+            own_list_changed: Default::default(),
+            lists_changed: Default::default(),
+            owner: Owner::with_shares(SHARES),
+            lease: Default::default(),
+            calls: Default::default(),
+            notes: Default::default(),
+            usage: Default::default(),
+            unsent: Default::default(),
+            periods: Default::default(),
+            was_flying: Default::default(),
+            failed: Default::default(),
+            pushed: Default::default(),
+            sent: Default::default(),
+        }
+    }
+}
+
+/// The other side of a connection.
+pub(super) enum Peer {
+    Entry(VmName),
+    Control(VmName),
+}
+
+pub(super) fn own_list(state: &State) -> Vec<EntryVm> {
+    state.entries.values().map(|p| p.entry.clone()).collect()
+}
+
+/// Sends to all control VMs and all entry VMs but one.
+pub(super) fn send_all(state: &State, without: Option<&VmName>, frame: &Frame) {
+    let bytes = match link::encode(frame) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            log::error!("message not sent: {e}");
+            return;
+        }
+    };
+    for peer in state.controls.values() {
+        peer.link.send_bytes(bytes.clone());
+    }
+    for (vm, peer) in &state.entries {
+        if Some(vm) != without {
+            peer.link.send_bytes(bytes.clone());
+        }
+    }
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -18,11 +18,7 @@
 use futures::future::Either;
 use futures::future::select;
 use prometheus::Registry;
-use rand::Rng;
-use sha2::Digest;
-use sha2::Sha256;
 use smol_str::SmolStr;
-use tide::http::Method;
 use tide::http::Request;
 use tide::http::Response;
 
@@ -35,7 +31,6 @@
 use crate::http::Caller;
 use crate::http::Handler;
 use crate::id::RequestId;
-use crate::id::ServiceId;
 use crate::pool::Pool;
 use crate::settings::EntrySettings;
 use crate::stage::Chooser;
@@ -47,7 +42,6 @@
 use crate::stage::Limits;
 use crate::stage::Quarantine;
 use crate::view::Customer;
-use crate::view::Part;
 use crate::view::Route;
 use crate::view::View;
 
@@ -69,8 +63,6 @@
 
 /// Paths under this prefix are answered by the system itself.
 pub const SYSTEM_PREFIX: &str = "/.zinnia/";
-/// Longest `idempotency-key`, in bytes.
-const ID_BYTES: usize = 256;
 /// Longest deadline that a caller may state.
 const LONGEST_LIMIT: Duration = Duration::from_secs(3_600);
 /// How often a stop checks whether all requests have ended.
@@ -298,7 +290,7 @@
                 false => Code::Quarantined.into(),
             });
         }
-        let id = claim_id(&request, &job)?;
+        let id = job::claim_id(&request, &job)?;
         if let Some(customer) = &customer {
             self.parts.limits.take(customer, deadline).await?;
         }
@@ -311,7 +303,7 @@
         let url = request.url();
         let host = url.host_str().unwrap_or_default();
         let mut route = view.find_route(host, url.path()).ok_or(Code::NoRoute)?.clone();
-        if let Some(service) = draw(&route.split) {
+        if let Some(service) = job::draw(&route.split) {
             route.service = service;
         }
         trace.service = Some(route.service.clone());
@@ -472,55 +464,3 @@
         self.0.tasks.fetch_sub(1, Ordering::SeqCst);
     }
 }
-
-/// The id under which the request is claimed; idempotent requests need none.
-fn claim_id(request: &Request, job: &Job) -> Result<Option<RequestId>> {
-    if job.idempotent {
-        return Ok(None);
-    }
-    let Some(values) = request.header("idempotency-key") else {
-        return match job.route.require_id {
-            true => Err(Code::IdRequired.into()),
-            false => Ok(None),
-        };
-    };
-    let id = values.as_str();
-    if values.iter().count() > 1 || id.is_empty() || id.len() > ID_BYTES {
-        let detail = format!("idempotency-key is repeated, empty or longer than {ID_BYTES} bytes");
-        return Err(Error::new(Code::BadRequest, detail));
-    }
-    Ok(Some(id.into()))
-}
-
-/// One of the parts at random, in proportion to their weights; `None` without weights.
-fn draw(parts: &[Part]) -> Option<ServiceId> {
-    let total: u64 = parts.iter().map(|p| u64::from(p.weight)).sum();
-    if total == 0 {
-        return None;
-    }
-    let mut point = rand::rng().random_range(0..total);
-    for part in parts {
-        let weight = u64::from(part.weight);
-        if point < weight {
-            return Some(part.service.clone());
-        }
-        point -= weight;
-    }
-    None
-}
-
-/// Whether requests with a method may run twice without harm (RFC 9110 section 9.2.2).
-fn is_idempotent(method: Method) -> bool {
-    use Method::*;
-    matches!(method, Get | Head | Options | Put | Delete | Trace)
-}
-
-fn sha256(parts: &[&[u8]]) -> SmolStr {
-    let mut hash = Sha256::new();
-    for part in parts {
-        // The length keeps parts from running into each other.
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    hex::encode(hash.finalize()).into()
-}
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -6,20 +6,29 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::Rng;
+use sha2::Digest;
+use sha2::Sha256;
 use smol_str::SmolStr;
 use tide::http::Method;
 use tide::http::Request;
 use tide::http::headers::HeaderName;
 use tide::http::headers::HeaderValue;
 
+use crate::code::Code;
 use crate::dialect::Dialect;
+use crate::error::Error;
+use crate::error::Result;
 use crate::id::CustomerId;
 use crate::id::RequestId;
+use crate::id::ServiceId;
+use crate::view::Part;
 use crate::view::Route;
 
 use super::forward;
-use super::is_idempotent;
-use super::sha256;
+
+/// Longest `idempotency-key`, in bytes.
+const ID_BYTES: usize = 256;
 
 pub(crate) struct Job {
     /// Names the request in the time line.
@@ -133,3 +142,55 @@
         self.sent.load(Ordering::SeqCst) > 0
     }
 }
+
+/// The id under which the request is claimed; idempotent requests need none.
+pub(super) fn claim_id(request: &Request, job: &Job) -> Result<Option<RequestId>> {
+    if job.idempotent {
+        return Ok(None);
+    }
+    let Some(values) = request.header("idempotency-key") else {
+        return match job.route.require_id {
+            true => Err(Code::IdRequired.into()),
+            false => Ok(None),
+        };
+    };
+    let id = values.as_str();
+    if values.iter().count() > 1 || id.is_empty() || id.len() > ID_BYTES {
+        let detail = format!("idempotency-key is repeated, empty or longer than {ID_BYTES} bytes");
+        return Err(Error::new(Code::BadRequest, detail));
+    }
+    Ok(Some(id.into()))
+}
+
+/// One of the parts at random, in proportion to their weights; `None` without weights.
+pub(super) fn draw(parts: &[Part]) -> Option<ServiceId> {
+    let total: u64 = parts.iter().map(|p| u64::from(p.weight)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut point = rand::rng().random_range(0..total);
+    for part in parts {
+        let weight = u64::from(part.weight);
+        if point < weight {
+            return Some(part.service.clone());
+        }
+        point -= weight;
+    }
+    None
+}
+
+/// Whether requests with a method may run twice without harm (RFC 9110 section 9.2.2).
+fn is_idempotent(method: Method) -> bool {
+    use Method::*;
+    matches!(method, Get | Head | Options | Put | Delete | Trace)
+}
+
+fn sha256(parts: &[&[u8]]) -> SmolStr {
+    let mut hash = Sha256::new();
+    for part in parts {
+        // The length keeps parts from running into each other.
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hex::encode(hash.finalize()).into()
+}
--- a/src/replica/member.rs
+++ b/src/replica/member.rs
@@ -133,7 +133,7 @@
     /// less and bears the same number of losses. A replica that returns later joins again.
     fn removal(&self, now: Instant, current: &Membership) -> Option<Membership> {
         let count = current.voters.len();
-        if !self.settings.is_open || !count.is_multiple_of(2) || count < SMALLEST_EVEN {
+        if !self.settings.is_open || count % 2 == 1 || count < SMALLEST_EVEN {
             return None;
         }
         let limit = self.settings.election * GONE_ELECTIONS;
