--- a/src/fleet/hub/call.rs
+++ b/src/fleet/hub/call.rs
@@ -25,8 +25,10 @@
 /// A call waits this long for a leader to appear.
 pub(super) const LEADER_WAIT: Duration = Duration::from_millis(600);
 
+/// How often a call looks whether the leader or an index is there.
 pub(super) const POLL: Duration = Duration::from_millis(15);
 
+/// Where the leader is.
 pub(super) enum Leader {
     Me,
     Other(Link),
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -31,6 +31,7 @@
 const BATCH_BYTES: usize = 64 << 10;
 /// Largest message: a whole configuration of 55 MB at full size.
 const FRAME_BYTES: usize = 64 << 20;
+/// Bytes of the length before each message, little-endian.
 const LENGTH_BYTES: usize = 4;
 /// Bytes asked from the socket at once.
 const READ_BYTES: usize = 4 << 10;
