--- a/src/fleet/steer.rs
+++ b/src/fleet/steer.rs
@@ -1,7 +1,7 @@
 //! Core: which upstream gets a request.
 //!
 //! A request that may run once, and the second try of any request, goes to a sound upstream. Two in
-//! five first tries of a request that may be repeated tests an upstream that is unknown or suspect.
+//! five first tries of requests that may be repeated test an upstream that is unknown or suspect.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -22,6 +22,9 @@
 
 /// Share of the first tries of repeatable requests that test an upstream.
 const TEST_SHARE: f64 = 0.4;
+/// An upstream without news for this long is tested even when the retry budget is used up: capacity that
+/// nobody tries for 2 s counts as taken away from the service.
+const FORGOTTEN: Duration = Duration::from_millis(1_000);
 /// This VM tests the same upstream again after this pause at the earliest.
 const TEST_PAUSE: Duration = Duration::from_millis(500);
 /// All VMs leave an upstream alone after repeated failures: for this time after the second in a row, and
@@ -45,8 +48,10 @@
 pub struct Want<'a> {
     /// Service of the request.
     pub service: &'a ServiceId,
-    /// Whether the request may be lost at the upstream, because it can be sent again.
+    /// Whether the retry budget has room for a request that is lost at a tested upstream.
     pub may_test: bool,
+    /// Whether the request may run twice without harm.
+    pub repeatable: bool,
     /// Requests in flight at an upstream, as a part of its slots, at which it is full for this request.
     pub full: f32,
     /// Upstreams that were tried.
@@ -118,12 +123,13 @@
         // A pause protects others from waiting; without another upstream it would only refuse.
         let open = if open.is_empty() { listed } else { open };
         let standing = |l: &Listed| outlook.standing(now, &l.report.upstream);
-        let first = want.may_test && want.tried.is_empty();
+        let first = want.repeatable && want.tried.is_empty();
         if first && self.rng.random_bool(TEST_SHARE) {
             let due: Vec<&Listed> = open
                 .iter()
                 .copied()
                 .filter(|l| standing(l) != Standing::Sound && self.load(l) < want.full)
+                .filter(|l| want.may_test || is_forgotten(now, outlook, &l.report.upstream))
                 .filter(|l| self.is_due(now, outlook, &l.report.upstream))
                 .collect();
             if let Some(one) = self.any(&due) {
@@ -277,3 +283,9 @@
         tested.is_none_or(|at| is_over(at, TEST_PAUSE)) && failed.is_none_or(|at| is_over(at, pause))
     }
 }
+
+/// Whether the fleet has had no news of an upstream for [`FORGOTTEN`].
+fn is_forgotten(now: Instant, outlook: &Outlook, id: &UpstreamId) -> bool {
+    let news = outlook.news_at(id);
+    news.is_none_or(|at| now.saturating_duration_since(at) >= FORGOTTEN)
+}
--- a/src/fleet/uplink/stages.rs
+++ b/src/fleet/uplink/stages.rs
@@ -135,7 +135,8 @@
                 true => FULL_URGENT,
                 false => FULL,
             },
-            may_test: ask.idempotent && budget.allows(now, &self.shared.bound, vms, Purpose::Test),
+            repeatable: ask.idempotent,
+            may_test: budget.allows(now, &self.shared.bound, vms, Purpose::Test),
             service: ask.service,
             tried: ask.avoid,
         };
--- a/tests/fleet/steer.rs
+++ b/tests/fleet/steer.rs
@@ -55,6 +55,7 @@
         let service: SmolStr = "forecast".into();
         let want = Want {
             service: &service,
+            repeatable: may_test,
             may_test,
             full: 2.0,
             tried,
@@ -199,3 +200,34 @@
     world.steer.set_others(&"u3".into(), 12.0);
     assert!(world.choose(false, &[]).is_none());
 }
+
+/// The load of dkf scale-1, seed 488975798214: the retry budget is used up and five of six upstreams have no
+/// news.
+///
+/// Guards against capacity that nobody tries: the floor of a service counts upstreams that get requests
+/// within 2 s.
+#[test]
+fn upstreams_without_news_are_tried_when_the_retry_budget_is_used_up() {
+    let mut world = World::new(6);
+    let service: SmolStr = "forecast".into();
+    let mut seen = std::collections::HashSet::new();
+    for _ in 0..100 {
+        world.now += MS * 20;
+        world.learn("u0", 1, 0);
+        let want = Want {
+            service: &service,
+            repeatable: true,
+            may_test: false,
+            full: 2.0,
+            tried: &[],
+        };
+        let choice = world
+            .steer
+            .choose(world.now, &world.roster, &world.outlook, &want)
+            .unwrap();
+        let id = choice.listed.report.upstream;
+        world.steer.end(&id);
+        seen.insert(id);
+    }
+    assert_eq!(seen.len(), 6, "{seen:?}");
+}
