Keep one of two connections that control VMs open to each other

Cause: two control VMs that dial each other at once each kept the connection that registered last, often different ones. What was on its way was lost: asks for tokens, news about upstreams and messages of the log.

Change: both keep the connection that the first of them by name opened, unless it is silent. Lost connections are counted.

--- a/src/fleet/hub.rs
+++ b/src/fleet/hub.rs
@@ -31,7 +31,6 @@
 use crate::fleet::link::Link;
 use crate::fleet::link::Reader;
 use crate::fleet::message::ControlVm;
-use crate::fleet::message::EntryVm;
 use crate::fleet::message::Frame;
 use crate::fleet::message::Outcome;
 use crate::fleet::roster::Announcement;
@@ -73,6 +72,8 @@
     replication: OnceLock<Arc<Replication<Catalog>>>,
     state: Mutex<State>,
     numbers: AtomicU64,
+    /// Connections to control VMs that were lost.
+    lost: AtomicU64,
     /// Window in which repeats are counted.
     window: Duration,
     excess: Excess,
@@ -119,6 +120,7 @@
             replication: OnceLock::new(),
             state: Mutex::new(State::new()),
             numbers: AtomicU64::new(1),
+            lost: AtomicU64::new(0),
             window: settings.window,
             excess: settings.excess,
         };
@@ -267,15 +269,15 @@
         Ok(replication.read(Catalog::edition))
     }
 
-    /// The entry VMs.
-    pub fn entries(&self) -> Vec<EntryVm> {
-        self.shared.state.lock().unwrap().lists.all()
-    }
-
-    /// The control VMs that are connected, in failure domains by name.
+    /// The control VMs that are connected.
     pub fn connected(&self) -> usize {
         self.shared.state.lock().unwrap().controls.len()
     }
+
+    /// Connections to control VMs that were lost since the start.
+    pub fn lost(&self) -> u64 {
+        self.shared.lost.load(Ordering::Relaxed)
+    }
 }
 
 impl Service for Hub {
@@ -378,6 +380,7 @@
             }
             Some(Peer::Control(vm)) if state.controls.get(&vm).is_some_and(|p| p.number == number) => {
                 state.controls.remove(&vm);
+                self.lost.fetch_add(1, Ordering::Relaxed);
                 state.lists.lose(now, &vm);
                 warn!("control VM lost: vm={vm} reason=\"{reason}\"");
             }
--- a/src/fleet/hub/receive.rs
+++ b/src/fleet/hub/receive.rs
@@ -50,6 +50,12 @@
         peer: &mut Option<Peer>,
         frame: Frame,
     ) {
+        if let Some(Peer::Control(vm)) = peer {
+            let mut state = self.state.lock().unwrap();
+            if let Some(other) = state.controls.get_mut(vm).filter(|p| p.number == number) {
+                other.heard = Instant::now();
+            }
+        }
         match frame {
             Frame::Entry { entry, version } => {
                 let vm = entry.vm.clone();
@@ -163,8 +169,15 @@
             link.send(&Frame::Control(self.me.clone()));
         }
         let mut state = self.state.lock().unwrap();
-        info!("control VM connected: vm={} domain={}", other.vm, other.domain);
         let now = Instant::now();
+        if let Some(known) = state.controls.get(&other.vm).filter(|p| p.number != number) {
+            if known.holds_against(now, &self.me.vm, &other.vm, dialed) {
+                link.close();
+                return;
+            }
+            known.link.close();
+        }
+        info!("control VM connected: vm={} domain={}", other.vm, other.domain);
         let reports: Vec<Announcement> = state
             .roster
             .iter()
@@ -180,6 +193,8 @@
         let peer = ControlPeer {
             link: link.clone(),
             number,
+            dialed,
+            heard: now,
             flying: HashMap::new(),
         };
         state.controls.insert(other.vm, peer);
--- a/src/fleet/hub/state.rs
+++ b/src/fleet/hub/state.rs
@@ -12,6 +12,7 @@
 use crate::fleet::budget::Window;
 use crate::fleet::entries::Entries;
 use crate::fleet::link;
+use crate::fleet::link::BEAT;
 use crate::fleet::link::Link;
 use crate::fleet::message::ControlVm;
 use crate::fleet::message::EntryVm;
@@ -37,6 +38,9 @@
 /// cut off end with it.
 const LEADER_LEASE: Duration = Duration::from_secs(1);
 
+/// A connection counts as live for this many beats after its last message.
+const LIVE_BEATS: u32 = 2;
+
 /// The last leaders that this VM knew.
 #[derive(Default)]
 pub(super) struct Reigns {
@@ -76,6 +80,10 @@
 pub(super) struct ControlPeer {
     pub(super) link: Link,
     pub(super) number: u64,
+    /// Whether this VM opened the connection.
+    pub(super) dialed: bool,
+    /// When a message came last.
+    pub(super) heard: Instant,
     pub(super) flying: HashMap<UpstreamId, u16>,
 }
 
@@ -85,6 +93,17 @@
     pub(super) sent: Instant,
 }
 
+impl ControlPeer {
+    /// Whether a later connection to the same VM must be closed. Two VMs that dial each other at once
+    /// both keep the connection that the first by name opened; without an order each may keep the one
+    /// that the other gives up for its silence.
+    pub(super) fn holds_against(&self, now: Instant, me: &VmName, other: &VmName, dialed: bool) -> bool {
+        let is_live = now.saturating_duration_since(self.heard) < LIVE_BEATS * BEAT;
+        let is_first = |dialed: bool| dialed == (me < other);
+        is_live && is_first(self.dialed) && !is_first(dialed)
+    }
+}
+
 impl Kept {
     pub(super) fn note(self, now: Instant) -> Note {
         let age = now.saturating_duration_since(self.sent).as_millis();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -14,6 +14,8 @@
 mod link;
 #[path = "fleet/loopback.rs"]
 mod loopback;
+#[path = "fleet/mesh.rs"]
+mod mesh;
 #[path = "fleet/outlook.rs"]
 mod outlook;
 #[path = "fleet/roster.rs"]
--- a/tests/fleet/loopback.rs
+++ b/tests/fleet/loopback.rs
@@ -32,7 +32,7 @@
 use zinnialoom::view::Route;
 use zinnialoom::view::ServiceRecord;
 
-fn free() -> SocketAddr {
+pub(crate) fn free() -> SocketAddr {
     Probe::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
@@ -198,6 +198,9 @@
     expect(caller, "k2", 200).await;
     assert_eq!(controls[2].hub().edition().await.unwrap().unwrap().number, 2);
 
+    // A connection that is lost and made again every second loses what was on its way.
+    let lost: u64 = controls.iter().map(|c| c.hub().lost()).sum();
+    assert_eq!(lost, 0, "connections between control VMs");
     controls.remove(0).stop().await;
     expect(caller, "k2", 200).await;
     let mut left = controls[0]
