--- a/src/bin/zinnia-ctl/app.rs
+++ b/src/bin/zinnia-ctl/app.rs
@@ -84,12 +84,14 @@
         None => new_secret()?[..CHANGE_ID_CHARS].into(),
     };
     let call = command.call(&id)?;
-    if call.changes && flags.change_id.is_none() {
+    // An edition has its number instead, which makes a second call harmless.
+    let is_named = call.params.get("change").is_some();
+    if is_named && flags.change_id.is_none() {
         eprintln!("change id: {id}");
     }
     let reply = remote.call(call.method, &call.params).await;
     let reply = reply.map_err(|e| match exit_code(e.code) {
-        EXIT_NO_ANSWER if call.changes => with_hint(e, &id),
+        EXIT_NO_ANSWER if is_named => with_hint(e, &id),
         _ => e,
     })?;
     match reply {
@@ -100,7 +102,7 @@
                 _ => Ok(0),
             }
         }
-        Err(fault) => refused(&remote, &flags, &id, call.changes, fault).await,
+        Err(fault) => refused(&remote, &flags, &id, is_named, fault).await,
     }
 }
 
@@ -116,7 +118,7 @@
     remote: &Remote,
     flags: &Flags,
     id: &str,
-    changes: bool,
+    is_named: bool,
     fault: ErrorObjectOwned,
 ) -> Result<i32> {
     if flags.json {
@@ -130,7 +132,7 @@
             return await_version(remote, flags, version).await;
         }
     }
-    if exit_code(error.code) == EXIT_NO_ANSWER && changes {
+    if exit_code(error.code) == EXIT_NO_ANSWER && is_named {
         return Err(with_hint(error, id));
     }
     Err(error)
--- a/src/bin/zinnia-ctl/command.rs
+++ b/src/bin/zinnia-ctl/command.rs
@@ -49,6 +49,7 @@
     Route(Route),
     Service(Service),
     Vm(Vm),
+    Apply(Apply),
     Status(Status),
     Wait(Wait),
 }
@@ -306,6 +307,18 @@
     count: Option<usize>,
 }
 
+/// replace all customers, keys, routes and services by those of a file
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct Apply {
+    /// JSON file with number, customers, services and routes
+    #[argh(positional)]
+    file: PathBuf,
+    /// print what would change, and change nothing
+    #[argh(switch)]
+    plan: bool,
+}
+
 /// state of the control VM that answers
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
@@ -332,6 +345,7 @@
             Command::Route(c) => c.act.call(id),
             Command::Service(c) => c.act.call(id),
             Command::Vm(c) => c.act.call(id),
+            Command::Apply(c) => c.call(),
             Command::Status(_) => read("status", params::StatusAsk {}),
             Command::Wait(w) => read(
                 "version.wait",
@@ -465,6 +479,18 @@
     }
 }
 
+impl Apply {
+    /// The number of the edition makes a second call harmless, so it needs no change id.
+    fn call(self) -> Result<Call> {
+        let bad = |e: serde_json::Error| Error::new(Code::BadParams, format!("{}: {e}", self.file.display()));
+        let text = std::fs::read_to_string(&self.file).map_err(|e| Error::io(self.file.display(), &e))?;
+        let mut params: params::EditionApply = serde_json::from_str(&text).map_err(bad)?;
+        params.plan |= self.plan;
+        let is_plan = params.plan;
+        call("edition.apply", params, !is_plan)
+    }
+}
+
 impl Remove {
     fn call(self, method: &'static str, id: &str) -> Result<Call> {
         let params = params::ById {
--- a/src/catalog/apply.rs
+++ b/src/catalog/apply.rs
@@ -64,7 +64,7 @@
 
 type Planned = Result<Plan, Fault>;
 
-fn check_name(field: &str, text: &str) -> Result<(), Fault> {
+pub(crate) fn check_name(field: &str, text: &str) -> Result<(), Fault> {
     if is_name(text) {
         return Ok(());
     }
@@ -73,7 +73,7 @@
     Err(Fault::field(field, detail))
 }
 
-fn check_range(field: &str, number: u64, low: u64, high: u64) -> Result<(), Fault> {
+pub(crate) fn check_range(field: &str, number: u64, low: u64, high: u64) -> Result<(), Fault> {
     if (low..=high).contains(&number) {
         return Ok(());
     }
@@ -81,7 +81,7 @@
     Err(Fault::field(field, detail))
 }
 
-fn check_digest(field: &str, text: &str) -> Result<(), Fault> {
+pub(crate) fn check_digest(field: &str, text: &str) -> Result<(), Fault> {
     let is_digit = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
     if text.len() == DIGEST_CHARS && text.chars().all(is_digit) {
         return Ok(());
@@ -403,12 +403,30 @@
             return Ok(Plan::default());
         }
         edition.check()?;
+        let edits = edition.edits(index, &self.view);
+        let security = edits.iter().any(|e| self.takes_right(e));
         Ok(Plan {
-            edits: edition.edits(index, &self.view),
+            edits,
+            security,
             ..Plan::default()
         })
     }
 
+    /// Whether an edit takes a right away that callers have now.
+    fn takes_right(&self, edit: &Edit) -> bool {
+        match edit {
+            Edit::CustomerGone(_) | Edit::KeyGone(_) => true,
+            Edit::Customer(new) => self.view.customers.get(&new.id).is_some_and(|old| {
+                let (new, old) = (new.limit, old.limit);
+                new.rate < old.rate || new.burst < old.burst
+            }),
+            Edit::Route(Route { id, .. }) | Edit::RouteGone(id) => {
+                self.view.routes.iter().any(|old| old.id == *id && old.open)
+            }
+            _ => false,
+        }
+    }
+
     /// Records that a run of an upstream leaves; recorded once, also when it is reported again.
     fn depart(&self, index: Index, upstream: &UpstreamId, born: u64) -> Plan {
         let is_known = |d: &Departed| d.upstream == *upstream && d.born >= born;
--- a/src/catalog/edition.rs
+++ b/src/catalog/edition.rs
@@ -83,7 +83,7 @@
     }
 
     /// The records that differ from those of a view.
-    pub(super) fn edits(&self, index: Index, view: &View) -> Vec<Edit> {
+    pub(crate) fn edits(&self, index: Index, view: &View) -> Vec<Edit> {
         let mut edits = Vec::new();
         self.edit_services(index, view, &mut edits);
         self.edit_customers(index, view, &mut edits);
@@ -100,8 +100,11 @@
         for service in &self.services {
             let old = view.services.get(&service.id);
             let version = old.map_or(index, |s| s.version);
+            // An edition states no join secret; upstreams of a service that stays must not be shut out.
+            let join = old.map_or(&service.join_digest, |s| &s.join_digest);
             let record = |version| ServiceRecord {
                 version,
+                join_digest: join.clone(),
                 ..service.clone()
             };
             if old != Some(&record(version)) {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -5,6 +5,7 @@
 
 pub mod acks;
 mod change;
+mod edition;
 pub mod params;
 mod process;
 mod show;
@@ -30,6 +31,7 @@
 use crate::catalog::change::Change;
 use crate::catalog::change::Op;
 use crate::catalog::change::Outcome;
+use crate::catalog::edition::Edition;
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
@@ -139,6 +141,7 @@
         let client = |o: &Operator, vm: &str| o.peers.get(vm).map(|p| Arc::clone(&p.operator));
         let mut table = Table::new("operator.forward", client);
         change::add(&mut table);
+        edition::add(&mut table);
         show::add(&mut table);
         table.module(self)
     }
@@ -164,6 +167,12 @@
         self.acks.lock().unwrap().in_force(&self.view(), version)
     }
 
+    /// Whether the records of the edition in force are those of this one.
+    fn holds(&self, edition: &Edition) -> bool {
+        let held = self.replication.read(Catalog::edition);
+        held.is_some_and(|h| *h == *edition)
+    }
+
     fn is_leader(&self) -> bool {
         self.replication.status().role == Role::Leader
     }
--- a/src/operator/change.rs
+++ b/src/operator/change.rs
@@ -165,12 +165,12 @@
     operator.change(p.change, p.expect, op).await
 }
 
-fn refusal(fault: &Fault, data: serde_json::Value) -> ErrorObjectOwned {
+pub(super) fn refusal(fault: &Fault, data: serde_json::Value) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(i32::from(fault.code), fault.detail.clone(), Some(data))
 }
 
 impl Operator {
-    async fn change(&self, id: ChangeId, expect: Version, op: Op) -> Answer {
+    pub(super) async fn change(&self, id: ChangeId, expect: Version, op: Op) -> Answer {
         let outcome = self.propose(&Change { id, expect, op }).await?;
         if let Some(fault) = &outcome.fault {
             return Err(self.refused(&outcome, fault));
--- a/src/operator/params.rs
+++ b/src/operator/params.rs
@@ -149,6 +149,95 @@
     pub new_secret: bool,
 }
 
+/// `edition.apply`: a whole configuration. It replaces all customers, keys, routes and services.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EditionApply {
+    /// Orders configurations; must be higher than that of the one in force.
+    pub number: u64,
+    /// All customers.
+    pub customers: Vec<CustomerSpec>,
+    /// All services.
+    pub services: Vec<ServiceSpec>,
+    /// All routes.
+    pub routes: Vec<RouteSpec>,
+    /// Answers what would change, and changes nothing.
+    #[serde(default)]
+    pub plan: bool,
+}
+
+/// A customer of an edition.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerSpec {
+    /// Name of the customer.
+    pub id: CustomerId,
+    /// Requests per second.
+    pub rate: u32,
+    /// Requests that may come at once.
+    pub burst: u32,
+    /// Rank of the customer's requests, 0 first; that of the route if absent.
+    #[serde(default)]
+    pub priority: Option<u8>,
+    /// SHA-256 of the customer's keys, in lower-case hexadecimal.
+    #[serde(default)]
+    pub digests: Vec<SmolStr>,
+}
+
+/// A service of an edition. A service that exists keeps the secret with which its upstreams join.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Name of the service.
+    pub id: ServiceId,
+    /// Healthy capacity in slots below which no upstream is ejected.
+    #[serde(default)]
+    pub floor: u32,
+    /// Connections that one upstream accepts from all callers; 0 if none is stated.
+    #[serde(default)]
+    pub connections: u32,
+}
+
+/// A route of an edition.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteSpec {
+    /// Name of the route.
+    pub id: RouteId,
+    /// Host; empty for all hosts that have no route for the path.
+    #[serde(default)]
+    pub host: SmolStr,
+    /// Path prefix, such as `/forecast`.
+    pub prefix: SmolStr,
+    /// Service that runs the requests.
+    pub service: ServiceId,
+    /// Upstreams to which one request may be sent at most.
+    #[serde(default = "attempts")]
+    pub attempts: u8,
+    /// Rank among the requests of a service, 0 first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Time in milliseconds within which an answer is of full use; 0 if none is stated.
+    #[serde(default)]
+    pub target_ms: u64,
+    /// Deadline in milliseconds of a request that states none.
+    pub limit_ms: u64,
+    /// Whether requests without a key are admitted.
+    #[serde(default)]
+    pub open: bool,
+    /// Whether all methods are idempotent on this route.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Whether non-idempotent requests must carry an `idempotency-key`.
+    #[serde(default)]
+    pub require_id: bool,
+}
+
+/// Attempts of a route that states none: one upstream may fail.
+fn attempts() -> u8 {
+    2
+}
+
 /// `vm.remove`
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -284,6 +373,28 @@
     pub note: Option<String>,
 }
 
+/// One step from the configuration in force to an edition.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// `set` or `remove`.
+    pub act: SmolStr,
+    /// Kind of the object.
+    pub kind: SmolStr,
+    /// Its name; of a key the first characters of its digest.
+    pub id: SmolStr,
+}
+
+/// Result of `edition.apply`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Applied {
+    /// Number of the configuration that is in force now.
+    pub number: u64,
+    /// Whether it was in force before this call.
+    pub repeated: bool,
+    /// What the edition changes.
+    pub objects: Vec<Step>,
+}
+
 /// Result of a show method.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Shown<T> {
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -387,3 +387,91 @@
     assert_eq!(code(&same), 2);
     assert!(errors(&same).contains("same secret"));
 }
+
+fn apply_file(control: &Processes, content: &Value) -> String {
+    let path = control.plan.path("edition.json");
+    std::fs::write(&path, content.to_string()).unwrap();
+    path.display().to_string()
+}
+
+/// Guards against an edition that is applied in part, applied twice, or shuts out upstreams that joined.
+#[test]
+fn an_edition_replaces_everything_and_tells_what_it_changes() {
+    let control = Processes::start(1);
+    control.json("service set --id forecast --floor 60");
+    control.json("customer set --id old --rate 1 --burst 1");
+    let mut edition = json!({
+        "number": 3,
+        "customers": [{"id": "soum", "rate": 100, "burst": 200, "digests": ["a".repeat(64)]}],
+        "services": [{"id": "forecast", "floor": 12}],
+        "routes": [{"id": "ages", "prefix": "/ages", "service": "forecast", "limit_ms": 2500}],
+    });
+    let file = apply_file(&control, &edition);
+    let plan = control.json(&format!("apply {file} --plan"));
+    assert_eq!(plan["number"], json!(0));
+    let steps: Vec<String> = plan["objects"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|o| {
+            let part = |name: &str| o[name].as_str().unwrap().to_owned();
+            format!("{} {} {}", part("act"), part("kind"), part("id"))
+        })
+        .collect();
+    let key = format!("set key {}", "a".repeat(16));
+    let expected = [
+        "set service forecast",
+        "remove customer old",
+        "set customer soum",
+        &key,
+        "set route ages",
+    ];
+    assert_eq!(steps, expected);
+    assert_eq!(control.json("customer list")["objects"][0]["id"], json!("old"));
+
+    assert_eq!(control.json(&format!("apply {file}"))["number"], json!(3));
+    assert_eq!(control.json("customer list")["objects"][0]["id"], json!("soum"));
+    assert_eq!(
+        control.json("route show --id ages")["object"]["attempts"],
+        json!(2)
+    );
+    // An answer may be lost, so the same file may come again.
+    assert_eq!(control.json(&format!("apply {file}"))["repeated"], json!(true));
+    edition["routes"] = json!([]);
+    let file = apply_file(&control, &edition);
+    assert_eq!(code(&control.ctl(&format!("apply {file}"))), 7);
+    assert_eq!(control.json("route list")["objects"].as_array().unwrap().len(), 1);
+}
+
+/// Guards against files that are accepted although a part of them cannot hold.
+#[test]
+fn an_edition_that_contradicts_itself_is_refused_whole() {
+    let control = Processes::start(1);
+    let good = json!({
+        "number": 1,
+        "customers": [{"id": "soum", "rate": 100, "burst": 200}],
+        "services": [{"id": "forecast"}],
+        "routes": [{"id": "ages", "prefix": "/ages", "service": "forecast", "limit_ms": 2500}],
+    });
+    let cases = [
+        ("/routes/0/service", json!("unknown")),
+        ("/routes/0/limit_ms", json!(0)),
+        ("/routes/0/limit_ms", json!(600_001)),
+        ("/routes/0/attempts", json!(0)),
+        ("/routes/0/prefix", json!("ages")),
+        ("/customers/0/rate", json!(0)),
+        ("/customers/0/digests", json!(["short"])),
+        ("/customers/0/id", json!("not a name")),
+        ("/number", json!(0)),
+        ("/extra", json!(1)),
+    ];
+    for (place, value) in cases {
+        let mut edition = good.clone();
+        let (parent, field) = place.rsplit_once('/').unwrap();
+        edition.pointer_mut(parent).unwrap()[field] = value;
+        let file = apply_file(&control, &edition);
+        let output = control.ctl(&format!("apply {file}"));
+        assert_eq!(code(&output), 2, "{place}: {}", errors(&output));
+    }
+    assert_eq!(control.json("customer list")["objects"], json!([]));
+}
--- a/tests/fleet/edition.rs
+++ b/tests/fleet/edition.rs
@@ -2,6 +2,7 @@
 
 use zinnialoom::catalog::Catalog;
 use zinnialoom::catalog::change::Change;
+use zinnialoom::catalog::change::JoinSecret;
 use zinnialoom::catalog::change::Op;
 use zinnialoom::catalog::change::Outcome;
 use zinnialoom::catalog::delta::Edit;
@@ -179,3 +180,29 @@
     assert_eq!(id("other.example", "/a/x"), None);
     assert_eq!(id("third.example", "/a"), None);
 }
+
+/// Guards against an edition that shuts out the upstreams of a service that stays, and against a lowered
+/// right that is in force for some VMs only because nobody waits for them.
+#[test]
+fn a_service_that_stays_keeps_its_join_secret() {
+    let mut catalog = Catalog::default();
+    let join = Op::ServiceSet {
+        id: "forecast".into(),
+        floor: 6,
+        join: JoinSecret::Given("f".repeat(64).into()),
+    };
+    let change = Change {
+        id: "c1".into(),
+        expect: 0,
+        op: join,
+    };
+    catalog.apply(1, &serde_json::to_vec(&change).unwrap());
+    assert!(!replace(&mut catalog, 2, edition(1)).security);
+    assert_eq!(catalog.view().services["forecast"].join_digest, "f".repeat(64));
+    let mut lowered = edition(2);
+    lowered.holders[0].customer.limit.rate -= 1;
+    assert!(replace(&mut catalog, 3, lowered).security);
+    let mut withdrawn = edition(3);
+    withdrawn.holders[0].digests.pop();
+    assert!(replace(&mut catalog, 4, withdrawn).security);
+}
