Leave an upstream alone that does not answer this VM

Change: after a silence a VM leaves the upstream alone, 1 s with repeatable requests and 3 s with others, doubled up to 8 s, until it answers or the fleet judges it. A connection must open within 150 ms.

--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -54,8 +54,8 @@
     fn part(self) -> f64 {
         match self {
             Purpose::Urgent => 1.0,
-            Purpose::Ordinary => 0.8,
-            Purpose::Test => 0.6,
+            Purpose::Ordinary => 0.9,
+            Purpose::Test => 0.55,
         }
     }
 }
--- a/src/fleet/steer.rs
+++ b/src/fleet/steer.rs
@@ -36,6 +36,12 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause after connections that could not be made, which doubles each time.
 const REFUSED_LONGEST: Duration = Duration::from_secs(6);
+/// Without an answer on a path that serves other VMs, this VM leaves the upstream alone: for the first time
+/// with repeatable requests, for the second with others, which must not be the ones to find out. Both
+/// double with each further silence.
+const SILENT_PAUSE: Duration = Duration::from_secs(1);
+const SILENT_PAUSE_ONCE: Duration = Duration::from_secs(3);
+const SILENT_LONGEST: Duration = Duration::from_secs(8);
 /// Cost of an upstream in another failure domain, as a part of its slots: its bytes are paid for.
 const ABROAD: f32 = 0.4;
 /// Cost of an upstream that is slow after its start.
@@ -76,6 +82,9 @@
     paused: Option<Instant>,
     /// Connections in a row that could not be made.
     refused: u32,
+    /// Waits for an answer in a row that were longer than usual, and when the last one was.
+    silences: u32,
+    silent: Option<Instant>,
 }
 
 /// This VM's own knowledge about upstreams.
@@ -119,6 +128,7 @@
             .iter()
             .copied()
             .filter(|l| !self.is_paused(now, &l.report.upstream))
+            .filter(|l| !self.is_silent(now, outlook, &l.report.upstream, want.repeatable))
             .collect();
         // A pause protects others from waiting; without another upstream it would only refuse.
         let open = if open.is_empty() { listed } else { open };
@@ -230,6 +240,21 @@
         }
     }
 
+    /// Learns that an answer came.
+    pub fn answered(&mut self, id: &UpstreamId) {
+        if let Some(local) = self.locals.get_mut(id) {
+            local.silences = 0;
+            local.silent = None;
+        }
+    }
+
+    /// Learns that no answer came in the time in which a sound upstream answers.
+    pub fn silence(&mut self, now: Instant, id: &UpstreamId) {
+        let local = self.locals.entry(id.clone()).or_default();
+        local.silences += 1;
+        local.silent = Some(now);
+    }
+
     /// Learns that a connection stood.
     pub fn reached(&mut self, id: &UpstreamId) {
         if let Some(local) = self.locals.get_mut(id) {
@@ -271,6 +296,24 @@
         paused.is_some_and(|until| now < until)
     }
 
+    /// Whether this VM had no answer from an upstream that answers others. When the fleet has judged the
+    /// upstream since, that judgement holds instead.
+    fn is_silent(&self, now: Instant, outlook: &Outlook, id: &UpstreamId, repeatable: bool) -> bool {
+        let Some(local) = self.locals.get(id) else {
+            return false;
+        };
+        let Some(at) = local.silent else { return false };
+        if outlook.failed_at(id).is_some_and(|failed| failed >= at) {
+            return false;
+        }
+        let first = match repeatable {
+            true => SILENT_PAUSE,
+            false => SILENT_PAUSE_ONCE,
+        };
+        let pause = first * 2_u32.saturating_pow(local.silences.saturating_sub(1).min(8));
+        now.saturating_duration_since(at) < pause.min(SILENT_LONGEST)
+    }
+
     /// An upstream that failed a moment ago is left alone; one that succeeded after its last failure is
     /// tested again soon.
     fn is_due(&self, now: Instant, outlook: &Outlook, id: &UpstreamId) -> bool {
--- a/src/fleet/uplink/stages.rs
+++ b/src/fleet/uplink/stages.rs
@@ -187,6 +187,7 @@
             Attempt::Cancelled => {}
             Attempt::Answered => {
                 state.steer.reached(&pick.upstream);
+                state.steer.answered(&pick.upstream);
                 let target = state.target(&sample.route);
                 // An answer that came after the patience was noted when the patience ended.
                 is_slow = target > 0.0 && sample.latency >= state.patience(&sample.route, target);
@@ -203,6 +204,9 @@
         }
         let queued = sample.attempt == Attempt::Late && state.is_queueing(&pick.upstream);
         state.steer.end(&pick.upstream);
+        if !queued && matches!(sample.attempt, Attempt::Late | Attempt::Stale) {
+            state.steer.silence(now, &pick.upstream);
+        }
         if !is_slow && !queued {
             let sent = now.checked_sub(sample.latency).unwrap_or(now);
             state.note(now, &pick.upstream, sample.attempt, sent);
@@ -262,6 +266,7 @@
             return;
         }
         let now = Instant::now();
+        state.steer.silence(now, &pick.upstream);
         state.note(now, &pick.upstream, Attempt::Late, now);
         drop(state);
         // A full channel means that a flush is due anyway.
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -24,7 +24,7 @@
 pub const IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// Time in which a connection must open: it takes about 1 ms inside a region, and a lost packet is
 /// sent again after a second, by which time another upstream has answered.
-pub const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// How long before the upstream's own limit an idle connection is given up.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
--- a/tests/fleet/steer.rs
+++ b/tests/fleet/steer.rs
@@ -231,3 +231,56 @@
     }
     assert_eq!(seen.len(), 6, "{seen:?}");
 }
+
+/// A path between one VM and one upstream is cut while all others get answers, as when a part of the
+/// entry VMs lose a server. Guards against a VM that goes on sending orders where its last request
+/// got no answer, and against one that never returns.
+#[test]
+fn a_silent_path_is_avoided_by_this_vm_alone() {
+    let mut world = World::new(3);
+    for id in ["u0", "u1", "u2"] {
+        world.learn(id, 5, 0);
+    }
+    let start = world.now;
+    world.steer.silence(world.now, &"u0".into());
+    let (mut orders, mut reads) = (None, None);
+    while world.now < start + Duration::from_secs(6) {
+        world.now += MS * 50;
+        for id in ["u0", "u1", "u2"] {
+            world.learn(id, 1, 0);
+        }
+        for (is_read, first) in [(false, &mut orders), (true, &mut reads)] {
+            let choice = world.choose(is_read, &[]).unwrap().listed.report.upstream;
+            world.steer.end(&choice);
+            if choice == "u0" && first.is_none() {
+                *first = Some(world.now - start);
+            }
+        }
+    }
+    let (orders, reads) = (orders.unwrap(), reads.unwrap());
+    assert!(
+        reads >= Duration::from_secs(1) && reads < Duration::from_secs(2),
+        "{reads:?}"
+    );
+    assert!(
+        orders >= Duration::from_secs(3) && orders < Duration::from_secs(4),
+        "{orders:?}"
+    );
+}
+
+/// Guards against a VM that stays away from an upstream for a silence that the fleet has explained: the
+/// upstream was slow for all and has recovered.
+#[test]
+fn the_fleets_judgement_ends_a_silence() {
+    let mut world = World::new(2);
+    world.learn("u0", 5, 0);
+    world.learn("u1", 5, 0);
+    world.steer.silence(world.now, &"u0".into());
+    world.now += MS;
+    world.learn("u0", 0, 1);
+    world.now += MS * 100;
+    world.learn("u0", 5, 0);
+    world.learn("u1", 0, 1);
+    let choice = world.choose(false, &[]).unwrap();
+    assert_eq!(choice.listed.report.upstream, "u0");
+}
