Send requests that may run once where the last success is latest

Cause: an upstream that turns gray costs the request that finds out, and orders were spread over all sound upstreams, so each onset at any of them could cost one.

Change: a second since the last success counts like half of the slots of an upstream, for requests that may run once.

--- a/src/fleet/outlook.rs
+++ b/src/fleet/outlook.rs
@@ -150,6 +150,11 @@
         self.all.get(id).and_then(|r| r.good_at.max(r.bad_at))
     }
 
+    /// When the last success was learned.
+    pub fn good_at(&self, id: &UpstreamId) -> Option<Instant> {
+        self.all.get(id).and_then(|r| r.good_at)
+    }
+
     /// Failures since the upstream was sound.
     pub fn failures(&self, id: &UpstreamId) -> u16 {
         self.all.get(id).map_or(0, |r| r.failures)
--- a/src/fleet/steer.rs
+++ b/src/fleet/steer.rs
@@ -44,6 +44,9 @@
 const SILENT_LONGEST: Duration = Duration::from_secs(8);
 /// Cost of an upstream in another failure domain, as a part of its slots: its bytes are paid for.
 const ABROAD: f32 = 0.4;
+/// Cost of a second since the last success, for requests that may run once. An upstream that turns gray
+/// costs the request that finds out, so fewer are lost where fewer upstreams are used, and those often.
+const STALE: f32 = 0.5;
 /// Cost of an upstream that is slow after its start.
 const COLD: f32 = 0.5;
 /// Candidates that are compared.
@@ -160,7 +163,7 @@
                 Standing::Suspect => top
                     .into_iter()
                     .min_by_key(|l| (outlook.failed_at(&l.report.upstream), l.report.upstream.clone())),
-                _ => self.least(now, outlook, &top),
+                _ => self.least(now, outlook, &top, want.repeatable),
             };
             if let Some(one) = one {
                 return Ok(self.take(now, one, best, false));
@@ -181,7 +184,13 @@
     }
 
     /// The upstream with the least cost among a few random ones, most of them of the own domain.
-    fn least<'a>(&mut self, now: Instant, outlook: &Outlook, top: &[&'a Listed]) -> Option<&'a Listed> {
+    fn least<'a>(
+        &mut self,
+        now: Instant,
+        outlook: &Outlook,
+        top: &[&'a Listed],
+        repeatable: bool,
+    ) -> Option<&'a Listed> {
         let near: Vec<&Listed> = top
             .iter()
             .copied()
@@ -194,7 +203,13 @@
                 false => &near,
             };
             let one = self.any(from)?;
-            let cost = self.cost(now, outlook, one);
+            let stale = match repeatable {
+                true => 0.0,
+                false => outlook
+                    .good_at(&one.report.upstream)
+                    .map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f32() * STALE),
+            };
+            let cost = self.cost(now, outlook, one) + stale;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, one));
             }
--- a/tests/fleet/steer.rs
+++ b/tests/fleet/steer.rs
@@ -284,3 +284,20 @@
     let choice = world.choose(false, &[]).unwrap();
     assert_eq!(choice.listed.report.upstream, "u0");
 }
+
+/// An upstream that turns gray costs the request that finds out. Guards against requests that may run
+/// once on an upstream that nobody has used for seconds while another has just answered; reads spread.
+#[test]
+fn a_request_that_may_run_once_prefers_the_latest_success() {
+    let mut world = World::new(6);
+    world.learn("u0", 3, 0);
+    world.now += Duration::from_secs(2);
+    world.learn("u3", 3, 0);
+    let mut latest = |is_read: bool| {
+        let choices = (0..200).map(|_| world.choose(is_read, &["u9".into()]).unwrap());
+        choices.filter(|c| c.listed.report.upstream == "u3").count()
+    };
+    let (orders, reads) = (latest(false), latest(true));
+    assert!(orders >= 160, "{orders} of 200");
+    assert!((60..140).contains(&reads), "{reads} of 200");
+}
