Read through the fleet: one way to send, one check of runs that left, a line for each retry refused

The hub encodes a message once for all its receivers and answers calls of other control VMs in one place; whether a run of an upstream has left is asked of the view; the uplink looks its retry budget up in one place. A request that is not sent again says why in the log.

--- a/src/catalog/apply.rs
+++ b/src/catalog/apply.rs
@@ -429,8 +429,7 @@
 
     /// Records that a run of an upstream leaves; recorded once, also when it is reported again.
     fn depart(&self, index: Index, upstream: &UpstreamId, born: u64) -> Plan {
-        let is_known = |d: &Departed| d.upstream == *upstream && d.born >= born;
-        if self.view.departed.iter().any(is_known) {
+        if self.view.has_left(upstream, born) {
             return Plan::default();
         }
         Plan::of(Edit::Departed(Departed {
--- a/src/fleet/hub.rs
+++ b/src/fleet/hub.rs
@@ -199,14 +199,9 @@
     /// As for `announce`.
     pub async fn depart(&self, upstream: UpstreamId, born: u64) -> Result<()> {
         let shared = &self.shared;
-        let is_known = shared.replication()?.read(|c| {
-            let view = c.view();
-            view.departed
-                .iter()
-                .any(|d| d.upstream == upstream && d.born >= born)
-        });
+        let view = shared.replication()?.read(Catalog::view);
         // What this replica has applied is committed already.
-        if is_known {
+        if view.has_left(&upstream, born) {
             return Ok(());
         }
         info!("upstream leaves: upstream={upstream} born={born}");
--- a/src/fleet/hub/receive.rs
+++ b/src/fleet/hub/receive.rs
@@ -14,8 +14,8 @@
 use super::state::Peer;
 use super::state::State;
 use super::state::own_list;
-use super::state::send_all;
 use crate::catalog::Catalog;
+use crate::error::Result;
 use crate::fleet::budget::Totals;
 use crate::fleet::link::Link;
 use crate::fleet::message::ControlVm;
@@ -41,6 +41,15 @@
 /// waits for a token.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
 
+/// Answers a call of another control VM when the work for it has ended.
+fn reply(link: &Link, number: u64, work: impl Future<Output = Result<Outcome>> + Send + 'static) {
+    let link = link.clone();
+    task::spawn(async move {
+        let outcome = work.await.unwrap_or_else(|e| Outcome::Failed(e.code.number()));
+        link.send(&Frame::Reply { number, outcome });
+    });
+}
+
 impl Shared {
     pub(super) fn handle(
         self: &Arc<Self>,
@@ -92,7 +101,6 @@
                 if let Some(Peer::Control(vm)) = peer {
                     let mut state = self.state.lock().unwrap();
                     state.lists.set(vm, entries);
-                    state.lists_changed = true;
                 }
             }
             Frame::Ask(ask) => self.ask(link, ask),
@@ -104,25 +112,15 @@
             }
             Frame::Crash { .. } => self.pass_on(peer.as_ref(), &frame),
             Frame::Propose { number, data } => {
-                let (shared, link) = (Arc::clone(self), link.clone());
-                task::spawn(async move {
-                    let outcome = match shared.replication() {
-                        Ok(replication) => replication.propose(data).await.map(Outcome::Applied),
-                        Err(e) => Err(e),
-                    };
-                    let outcome = outcome.unwrap_or_else(|e| Outcome::Failed(e.code.number()));
-                    link.send(&Frame::Reply { number, outcome });
+                let shared = Arc::clone(self);
+                reply(link, number, async move {
+                    shared.replication()?.propose(data).await.map(Outcome::Applied)
                 });
             }
             Frame::Fence { number } => {
-                let (shared, link) = (Arc::clone(self), link.clone());
-                task::spawn(async move {
-                    let outcome = match shared.replication() {
-                        Ok(replication) => replication.barrier().await.map(Outcome::Fenced),
-                        Err(e) => Err(e),
-                    };
-                    let outcome = outcome.unwrap_or_else(|e| Outcome::Failed(e.code.number()));
-                    link.send(&Frame::Reply { number, outcome });
+                let shared = Arc::clone(self);
+                reply(link, number, async move {
+                    shared.replication()?.barrier().await.map(Outcome::Fenced)
                 });
             }
             Frame::Reply { number, outcome } => {
@@ -199,7 +197,7 @@
         };
         state.controls.insert(other.vm, peer);
         let controls = Frame::Controls(self.controls(&state));
-        send_all(&state, None, &controls);
+        state.send_all(None, &controls);
     }
 
     /// Learns the names of control VMs that others know, so that a VM that knows only some of them is
@@ -239,7 +237,7 @@
     /// Takes a report of an upstream, from itself or from another control VM.
     pub(super) fn hear(&self, now: Instant, report: Announcement, is_own: bool) {
         let Some(view) = self.view() else { return };
-        if roster::has_left(&view.departed, &report) {
+        if view.has_left(&report.upstream, report.born) {
             return;
         }
         let mut state = self.state.lock().unwrap();
@@ -252,18 +250,14 @@
             reports: vec![report.clone()],
         };
         if is_own {
-            for peer in state.controls.values() {
-                peer.link.send(&frame);
-            }
+            state.send_controls(&frame);
         }
         if change == roster::Change::Changed {
             info!(
                 "upstream listed: upstream={} service={} address={} state={} born={} sequence={}",
                 report.upstream, report.service, report.address, report.state, report.born, report.sequence
             );
-            for peer in state.entries.values() {
-                peer.link.send(&frame);
-            }
+            state.send_entries(&frame);
         }
     }
 
@@ -278,14 +272,12 @@
                     urgent.extend(state.keep_note(now, note));
                 }
                 if !urgent.is_empty() {
-                    send_all(&state, Some(vm), &Frame::Notes(urgent));
+                    state.send_all(Some(vm), &Frame::Notes(urgent));
                 }
             }
             Some(Peer::Control(_)) => {
                 let frame = Frame::Notes(notes);
-                for peer in state.entries.values() {
-                    peer.link.send(&frame);
-                }
+                state.send_entries(&frame);
             }
             None => {}
         }
@@ -328,11 +320,9 @@
     pub(super) fn pass_on(&self, from: Option<&Peer>, frame: &Frame) {
         let state = self.state.lock().unwrap();
         match from {
-            Some(Peer::Entry(vm)) => send_all(&state, Some(vm), frame),
+            Some(Peer::Entry(vm)) => state.send_all(Some(vm), frame),
             _ => {
-                for peer in state.entries.values() {
-                    peer.link.send(frame);
-                }
+                state.send_entries(frame);
             }
         }
     }
--- a/src/fleet/hub/state.rs
+++ b/src/fleet/hub/state.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use futures::channel::oneshot;
+use log::error;
 use log::info;
 
 use super::SHARES;
@@ -123,7 +124,6 @@
     pub(super) named: HashMap<VmName, Instant>,
     pub(super) lists: Entries,
     pub(super) own_list_changed: bool,
-    pub(super) lists_changed: bool,
     pub(super) owner: Owner,
     pub(super) lease: Option<Lease>,
     pub(super) reigns: Reigns,
@@ -226,7 +226,6 @@
             named: Default::default(),
             lists: Default::default(),
             own_list_changed: Default::default(),
-            lists_changed: Default::default(),
             owner: Owner::with_shares(SHARES),
             lease: Default::default(),
             reigns: Default::default(),
@@ -253,21 +252,29 @@
     state.entries.values().map(|p| p.entry.clone()).collect()
 }
 
-/// Sends to all control VMs and all entry VMs but one.
-pub(super) fn send_all(state: &State, without: Option<&VmName>, frame: &Frame) {
-    let bytes = match link::encode(frame) {
-        Ok(bytes) => bytes,
-        Err(e) => {
-            log::error!("message not sent: {e}");
-            return;
-        }
-    };
-    for peer in state.controls.values() {
-        peer.link.send_bytes(bytes.clone());
+impl State {
+    /// Sends to all control VMs.
+    pub(super) fn send_controls(&self, frame: &Frame) {
+        send_each(frame, self.controls.values().map(|p| &p.link));
     }
-    for (vm, peer) in &state.entries {
-        if Some(vm) != without {
-            peer.link.send_bytes(bytes.clone());
-        }
+
+    /// Sends to all entry VMs.
+    pub(super) fn send_entries(&self, frame: &Frame) {
+        send_each(frame, self.entries.values().map(|p| &p.link));
+    }
+
+    /// Sends to all control VMs and all entry VMs but one.
+    pub(super) fn send_all(&self, without: Option<&VmName>, frame: &Frame) {
+        let controls = self.controls.values().map(|p| &p.link);
+        let entries = self.entries.iter().filter(|(vm, _)| Some(*vm) != without);
+        send_each(frame, controls.chain(entries.map(|(_, p)| &p.link)));
+    }
+}
+
+/// Encodes a message once for all its receivers.
+fn send_each<'a>(frame: &Frame, links: impl Iterator<Item = &'a Link>) {
+    match link::encode(frame) {
+        Ok(bytes) => links.for_each(|link| link.send_bytes(bytes.clone())),
+        Err(e) => error!("message not sent: {e}"),
     }
 }
--- a/src/fleet/hub/tick.rs
+++ b/src/fleet/hub/tick.rs
@@ -8,7 +8,6 @@
 use super::Shared;
 use super::state::State;
 use super::state::own_list;
-use super::state::send_all;
 use crate::fleet::budget::Totals;
 use crate::fleet::link::Link;
 use crate::fleet::message::Frame;
@@ -61,10 +60,8 @@
             *all.entry(id.clone()).or_default() += count;
         }
         let all = Frame::Flying(all.into_iter().collect());
-        for peer in state.entries.values() {
-            peer.link.send(&totals);
-            peer.link.send(&all);
-        }
+        state.send_entries(&totals);
+        state.send_entries(&all);
     }
 
     /// Sends successes, retry counts and requests in flight to the other control VMs, and the successes
@@ -73,7 +70,7 @@
         let now = Instant::now();
         let notes: Vec<Note> = state.notes.drain().map(|(_, k)| k.note(now)).collect();
         if !notes.is_empty() {
-            send_all(state, None, &Frame::Notes(notes));
+            state.send_all(None, &Frame::Notes(notes));
         }
         let usage: Vec<(ServiceId, Totals)> = state.unsent.drain().collect();
         let flying: Vec<(UpstreamId, u16)> = state.own_flying().into_iter().collect();
@@ -83,10 +80,8 @@
             return;
         }
         let (usage, flying) = (Frame::Usage(usage), Frame::Flying(flying));
-        for peer in state.controls.values() {
-            peer.link.send(&usage);
-            peer.link.send(&flying);
-        }
+        state.send_controls(&usage);
+        state.send_controls(&flying);
     }
 
     pub(super) fn beat(self: &Arc<Self>) {
@@ -99,7 +94,7 @@
         state.lead(now, &status, self.excess);
         let is_fresh = status.leader.is_some() && status.is_current;
         let alive = Frame::Alive { is_fresh, version: 0 };
-        send_all(&state, None, &alive);
+        state.send_all(None, &alive);
     }
 
     pub(super) fn pass_lists(self: &Arc<Self>) {
@@ -109,24 +104,18 @@
         if !forgotten.is_empty() {
             info!("upstreams forgotten: {forgotten:?}");
             let frame = Frame::Forgotten(forgotten);
-            for peer in state.entries.values() {
-                peer.link.send(&frame);
-            }
+            state.send_entries(&frame);
         }
         if std::mem::take(&mut state.own_list_changed) {
             let own = own_list(&state);
             state.lists.set(&self.me.vm, own.clone());
             let frame = Frame::Entries(own);
-            for peer in state.controls.values() {
-                peer.link.send(&frame);
-            }
+            state.send_controls(&frame);
         }
         let all = state.lists.all();
         if all != state.sent {
             let frame = Frame::Entries(all.clone());
-            for peer in state.entries.values() {
-                peer.link.send(&frame);
-            }
+            state.send_entries(&frame);
             state.sent = all;
         }
     }
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -200,10 +200,3 @@
         self.all.is_empty()
     }
 }
-
-/// Whether a report comes from a run that has left.
-pub fn has_left(departed: &[Departed], report: &Announcement) -> bool {
-    departed
-        .iter()
-        .any(|d| d.upstream == report.upstream && report.born <= d.born)
-}
--- a/src/fleet/uplink.rs
+++ b/src/fleet/uplink.rs
@@ -31,7 +31,6 @@
 use crate::fleet::message::Frame;
 use crate::fleet::outlook::Note;
 use crate::fleet::outlook::Outlook;
-use crate::fleet::roster;
 use crate::fleet::roster::Announcement;
 use crate::fleet::roster::Roster;
 use crate::fleet::steer::Steer;
@@ -310,7 +309,7 @@
                     }
                 }
                 let view = Arc::clone(&state.view);
-                let stays = |r: &Announcement| !roster::has_left(&view.departed, r);
+                let stays = |r: &Announcement| !view.has_left(&r.upstream, r.born);
                 for report in reports.into_iter().filter(stays) {
                     state.roster.announce(now, report);
                 }
@@ -358,6 +357,12 @@
         }
     }
 
+    /// Sends news without waiting for the next period.
+    fn flush_soon(&self) {
+        // A full channel means that a flush is due anyway.
+        let _ = self.urgent.try_send(());
+    }
+
     async fn flush_urgent(&self, flush: Receiver<()>) {
         while flush.recv().await.is_ok() {
             task::sleep(FLUSH_DELAY).await;
--- a/src/fleet/uplink/stages.rs
+++ b/src/fleet/uplink/stages.rs
@@ -145,8 +145,7 @@
         let now = Instant::now();
         let mut guard = self.shared.state.lock().unwrap();
         let state = &mut *guard;
-        let vms = state.entries.len();
-        let budget = state.budgets.entry(ask.service.clone()).or_default();
+        let (budget, vms) = state.budget(ask.service);
         let want = Want {
             full: match ask.urgent {
                 true => FULL_URGENT,
@@ -217,8 +216,7 @@
             .is_some_and(|(n, _)| n.is_urgent());
         drop(state);
         if is_urgent {
-            // A full channel means that a flush is due anyway.
-            let _ = self.shared.urgent.try_send(());
+            self.shared.flush_soon();
         }
     }
 
@@ -240,22 +238,21 @@
 
     fn allows_retry(&self, route: &Route) -> bool {
         let mut state = self.shared.state.lock().unwrap();
-        let (vms, purpose) = (state.entries.len(), state.purpose(route));
-        let budget = state.budgets.entry(route.service.clone()).or_default();
+        let purpose = state.purpose(route);
+        let (budget, vms) = state.budget(&route.service);
         budget.allows(Instant::now(), &self.shared.bound, vms, purpose)
     }
 
     fn take_retry_of(&self, route: &Route) -> bool {
         let mut state = self.shared.state.lock().unwrap();
-        let (vms, purpose) = (state.entries.len(), state.purpose(route));
-        let budget = state.budgets.entry(route.service.clone()).or_default();
+        let purpose = state.purpose(route);
+        let (budget, vms) = state.budget(&route.service);
         budget.take(Instant::now(), &self.shared.bound, vms, purpose)
     }
 
     fn take_retry(&self, service: &ServiceId) -> bool {
         let mut state = self.shared.state.lock().unwrap();
-        let vms = state.entries.len();
-        let budget = state.budgets.entry(service.clone()).or_default();
+        let (budget, vms) = state.budget(service);
         budget.take(Instant::now(), &self.shared.bound, vms, Purpose::Ordinary)
     }
 
@@ -269,13 +266,12 @@
         state.steer.silence(now, &pick.upstream);
         state.note(now, &pick.upstream, Attempt::Late, now);
         drop(state);
-        // A full channel means that a flush is due anyway.
-        let _ = self.shared.urgent.try_send(());
+        self.shared.flush_soon();
     }
 
     fn count(&self, service: &ServiceId) {
         let mut state = self.shared.state.lock().unwrap();
-        let budget = state.budgets.entry(service.clone()).or_default();
+        let (budget, _) = state.budget(service);
         budget.count(Instant::now(), &self.shared.bound);
     }
 
--- a/src/fleet/uplink/state.rs
+++ b/src/fleet/uplink/state.rs
@@ -230,6 +230,12 @@
         found.map_or(0.0, |r| Duration::from_millis(r.target_ms).as_secs_f64())
     }
 
+    /// The retry budget of a service, and the number of VMs that share it.
+    pub(super) fn budget(&mut self, service: &ServiceId) -> (&mut Budget, usize) {
+        let vms = self.entries.len();
+        (self.budgets.entry(service.clone()).or_default(), vms)
+    }
+
     pub(super) fn purpose(&self, route: &Route) -> Purpose {
         let same = |r: &&Route| r.services().any(|s| *s == route.service);
         let least = self.view.routes.iter().filter(same).map(|r| r.priority).min();
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -9,6 +9,7 @@
 use async_std::future;
 use async_std::io;
 use async_std::task;
+use log::info;
 use tide::http::Body;
 use tide::http::Response;
 use tide::http::StatusCode;
@@ -148,9 +149,18 @@
     }
 
     fn may_retry(&self, job: &Job) -> bool {
-        !job.left().is_zero()
-            && !self.parts.quarantine.is_blocked(&job.fingerprint, Instant::now())
-            && self.parts.chooser.take_retry_of(&job.route)
+        let reason = if job.left().is_zero() {
+            "deadline"
+        } else if self.parts.quarantine.is_blocked(&job.fingerprint, Instant::now()) {
+            "quarantine"
+        } else if !self.parts.chooser.take_retry_of(&job.route) {
+            "budget"
+        } else {
+            return true;
+        };
+        let service = &job.route.service;
+        info!("not sent again: id={} service={service} reason={reason}", job.id);
+        false
     }
 
     /// One attempt; `None` if another may follow.
--- a/src/view.rs
+++ b/src/view.rs
@@ -210,6 +210,14 @@
 }
 
 impl View {
+    /// Whether a run of an upstream, or a later one, has said that it leaves.
+    pub fn has_left(&self, upstream: &UpstreamId, born: u64) -> bool {
+        let departed = self.departed.iter();
+        departed
+            .filter(|d| d.upstream == *upstream)
+            .any(|d| born <= d.born)
+    }
+
     /// The route of a path on any host, without its query: the one with the longest prefix of whole
     /// segments.
     pub fn route(&self, path: &str) -> Option<&Route> {
--- a/tests/fleet/roster.rs
+++ b/tests/fleet/roster.rs
@@ -6,6 +6,7 @@
 use zinnialoom::fleet::roster::Change;
 use zinnialoom::fleet::roster::Roster;
 use zinnialoom::view::Departed;
+use zinnialoom::view::View;
 
 use crate::upstreams::report;
 
@@ -83,8 +84,13 @@
     }];
     roster.depart(&departed);
     assert!(roster.is_empty());
-    assert!(roster::has_left(&departed, &at(1_000, 2)));
-    assert!(!roster::has_left(&departed, &at(2_000, 1)));
+    let view = View {
+        departed: departed.to_vec(),
+        ..View::default()
+    };
+    let has_left = |report: Announcement| view.has_left(&report.upstream, report.born);
+    assert!(has_left(at(1_000, 2)));
+    assert!(!has_left(at(2_000, 1)));
 }
 
 /// Guards against a list that grows with upstreams that are gone for good, and against dropping those that
