--- a/src/bin/zinnia-ctl/command.rs
+++ b/src/bin/zinnia-ctl/command.rs
@@ -12,6 +12,8 @@
 use zinnialoom::error::Result;
 use zinnialoom::operator::params;
 
+use crate::apply::Apply;
+
 /// One call of a control process.
 pub struct Call {
     /// Name of the method.
@@ -30,7 +32,11 @@
     call(method, params, true)
 }
 
-fn call(method: &'static str, params: impl Serialize, changes: bool) -> Result<Call> {
+/// A call with its parameters.
+///
+/// # Errors
+/// `BadParams` if they cannot be written as JSON.
+pub fn call(method: &'static str, params: impl Serialize, changes: bool) -> Result<Call> {
     let params =
         serde_json::to_value(params).map_err(|e| Error::new(Code::BadParams, format!("{method}: {e}")))?;
     Ok(Call {
@@ -307,18 +313,6 @@
     count: Option<usize>,
 }
 
-/// replace all customers, keys, routes and services by those of a file
-#[derive(FromArgs)]
-#[argh(subcommand, name = "apply")]
-pub struct Apply {
-    /// JSON file with number, customers, services and routes
-    #[argh(positional)]
-    file: PathBuf,
-    /// print what would change, and change nothing
-    #[argh(switch)]
-    plan: bool,
-}
-
 /// state of the control VM that answers
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
@@ -479,18 +473,6 @@
     }
 }
 
-impl Apply {
-    /// The number of the edition makes a second call harmless, so it needs no change id.
-    fn call(self) -> Result<Call> {
-        let bad = |e: serde_json::Error| Error::new(Code::BadParams, format!("{}: {e}", self.file.display()));
-        let text = std::fs::read_to_string(&self.file).map_err(|e| Error::io(self.file.display(), &e))?;
-        let mut params: params::EditionApply = serde_json::from_str(&text).map_err(bad)?;
-        params.plan |= self.plan;
-        let is_plan = params.plan;
-        call("edition.apply", params, !is_plan)
-    }
-}
-
 impl Remove {
     fn call(self, method: &'static str, id: &str) -> Result<Call> {
         let params = params::ById {
--- a/src/bin/zinnia-ctl/main.rs
+++ b/src/bin/zinnia-ctl/main.rs
@@ -1,6 +1,7 @@
 //! Operator command line of the control processes.
 
 mod app;
+mod apply;
 mod command;
 mod flags;
 mod print;
