--- a/src/catalog/apply.rs
+++ b/src/catalog/apply.rs
@@ -404,7 +404,7 @@
         }
         edition.check()?;
         let edits = edition.edits(index, &self.view);
-        let security = edits.iter().any(|e| self.takes_right(e));
+        let security = edits.iter().any(|e| self.revokes_right(e));
         Ok(Plan {
             edits,
             security,
@@ -413,7 +413,7 @@
     }
 
     /// Whether an edit takes a right away that callers have now.
-    fn takes_right(&self, edit: &Edit) -> bool {
+    fn revokes_right(&self, edit: &Edit) -> bool {
         match edit {
             Edit::CustomerGone(_) | Edit::KeyGone(_) => true,
             Edit::Customer(new) => self.view.customers.get(&new.id).is_some_and(|old| {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod entries;
 pub mod followed;
 pub mod hub;
+pub mod leaders;
 pub mod link;
 pub mod message;
 pub mod node;
--- a/src/fleet/hub/receive.rs
+++ b/src/fleet/hub/receive.rs
@@ -169,7 +169,7 @@
         let mut state = self.state.lock().unwrap();
         let now = Instant::now();
         if let Some(known) = state.controls.get(&other.vm).filter(|p| p.number != number) {
-            if known.holds_against(now, &self.me.vm, &other.vm, dialed) {
+            if known.is_preferred(now, &self.me.vm, &other.vm, dialed) {
                 link.close();
                 return;
             }
--- a/src/fleet/hub/state.rs
+++ b/src/fleet/hub/state.rs
@@ -12,6 +12,7 @@
 use crate::fleet::budget::Totals;
 use crate::fleet::budget::Window;
 use crate::fleet::entries::Entries;
+use crate::fleet::leaders::Leaders;
 use crate::fleet::link;
 use crate::fleet::link::BEAT;
 use crate::fleet::link::Link;
@@ -24,7 +25,6 @@
 use crate::grant::Excess;
 use crate::grant::Owner;
 use crate::id::ServiceId;
-use crate::id::Term;
 use crate::id::UpstreamId;
 use crate::id::Version;
 use crate::id::VmName;
@@ -42,31 +42,6 @@
 /// A connection counts as live for this many beats after its last message.
 const LIVE_BEATS: u32 = 2;
 
-/// The last leaders that this VM knew.
-#[derive(Default)]
-pub(super) struct Reigns {
-    term: Term,
-    since: Option<Instant>,
-    /// How long the one before led; `None` if none was known.
-    before: Option<Duration>,
-}
-
-impl Reigns {
-    fn note(&mut self, now: Instant, term: Term) {
-        if term == self.term {
-            return;
-        }
-        self.term = term;
-        self.before = self.since.map(|at| now.saturating_duration_since(at));
-        self.since = Some(now);
-    }
-
-    /// Whether no two leaders began within a window, as far as this VM knows.
-    fn is_steady(&self, window: Duration) -> bool {
-        self.before.is_none_or(|time| time >= window)
-    }
-}
-
 /// An entry VM that is connected.
 pub(super) struct EntryPeer {
     pub(super) link: Link,
@@ -95,10 +70,10 @@
 }
 
 impl ControlPeer {
-    /// Whether a later connection to the same VM must be closed. Two VMs that dial each other at once
+    /// Whether this connection is kept and a later one to the same VM closed. Two VMs that dial each other at once
     /// both keep the connection that the first by name opened; without an order each may keep the one
     /// that the other gives up for its silence.
-    pub(super) fn holds_against(&self, now: Instant, me: &VmName, other: &VmName, dialed: bool) -> bool {
+    pub(super) fn is_preferred(&self, now: Instant, me: &VmName, other: &VmName, dialed: bool) -> bool {
         let is_live = now.saturating_duration_since(self.heard) < LIVE_BEATS * BEAT;
         let is_first = |dialed: bool| dialed == (me < other);
         is_live && is_first(self.dialed) && !is_first(dialed)
@@ -126,7 +101,7 @@
     pub(super) own_list_changed: bool,
     pub(super) owner: Owner,
     pub(super) lease: Option<Lease>,
-    pub(super) reigns: Reigns,
+    pub(super) leaders: Leaders,
     pub(super) calls: HashMap<u64, oneshot::Sender<Outcome>>,
     /// Successes that wait to be passed on.
     pub(super) notes: HashMap<UpstreamId, Kept>,
@@ -150,7 +125,7 @@
     /// Learns who leads, and begins, renews or ends this VM's right to grant tokens.
     pub(super) fn lead(&mut self, now: Instant, status: &ReplicaStatus, excess: Excess) {
         if status.leader.is_some() {
-            self.reigns.note(now, status.term);
+            self.leaders.note(now, status.term);
         }
         if status.role != Role::Leader {
             self.lease = None;
@@ -162,7 +137,7 @@
             return;
         }
         self.lease = Some(Lease { since: now, end });
-        let is_steady = self.reigns.is_steady(excess.window);
+        let is_steady = self.leaders.is_steady(excess.window);
         info!(
             "tokens granted by this VM: term={} credit={is_steady}",
             status.term
@@ -228,7 +203,7 @@
             own_list_changed: Default::default(),
             owner: Owner::with_shares(SHARES),
             lease: Default::default(),
-            reigns: Default::default(),
+            leaders: Default::default(),
             calls: Default::default(),
             notes: Default::default(),
             usage: Default::default(),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -10,6 +10,8 @@
 mod followed;
 #[path = "fleet/group.rs"]
 mod group;
+#[path = "fleet/leaders.rs"]
+mod leaders;
 #[path = "fleet/link.rs"]
 mod link;
 #[path = "fleet/loopback.rs"]
