--- a/src/fleet/steer.rs
+++ b/src/fleet/steer.rs
@@ -36,11 +36,12 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause after connections that could not be made, which doubles each time.
 const REFUSED_LONGEST: Duration = Duration::from_secs(6);
-/// Without an answer on a path that serves other VMs, this VM leaves the upstream alone: for the first time
-/// with repeatable requests, for the second with others, which must not be the ones to find out. Both
-/// double with each further silence.
+/// A VM that had no answer from an upstream leaves it alone for this time with repeatable requests. Others
+/// get answers there, so the path is at fault, and a read may find out when it works again.
 const SILENT_PAUSE: Duration = Duration::from_secs(1);
+/// The same with requests that may run once, which must not be the ones to find out.
 const SILENT_PAUSE_ONCE: Duration = Duration::from_secs(3);
+/// Longest such pause, which doubles with each further silence: about as long as a path is cut.
 const SILENT_LONGEST: Duration = Duration::from_secs(8);
 /// Cost of an upstream in another failure domain, as a part of its slots: its bytes are paid for.
 const ABROAD: f32 = 0.4;
