Log when an attempt exceeds the patience for one upstream

Two lines tell it now: that the upstream was given up, after which wait, and for which error no other upstream followed.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -210,6 +210,14 @@
     let may_leave = job.idempotent && job.has_more() && chooser.allows_retry(&job.route);
     let first = patience.map_or(until, |p| until.min(p));
     let mut byte = answer::first_byte(&mut buffered, first).await;
+    if first < until && is_timeout(&byte) {
+        info!(
+            "attempt overdue: id={} upstream={} ms={} given_up={may_leave}",
+            job.id,
+            pick.upstream,
+            flight.started.elapsed().as_millis()
+        );
+    }
     if first < until && !may_leave && is_timeout(&byte) {
         // Others should not go there, but this request has no better place.
         chooser.suspect(pick);
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -134,6 +134,10 @@
                 Ok(Some(done)) => return done,
                 Ok(None) => {}
                 Err(error) => {
+                    info!(
+                        "not sent again: id={} service={} reason=\"{error}\"",
+                        job.id, job.route.service
+                    );
                     progress.error = error;
                     break;
                 }
