--- a/tests/path.rs
+++ b/tests/path.rs
@@ -10,6 +10,8 @@
 mod keys;
 #[path = "path/once.rs"]
 mod once;
+#[path = "path/overdue.rs"]
+mod overdue;
 #[path = "path/queue.rs"]
 mod queue;
 #[path = "path/script.rs"]
--- a/tests/path/fakes.rs
+++ b/tests/path/fakes.rs
@@ -70,6 +70,7 @@
     pub blocked: AtomicBool,
     pub reports: AtomicUsize,
     pub reuse_limit: Mutex<Duration>,
+    pub patience: Mutex<Option<Duration>>,
 }
 
 pub struct Fake;
@@ -158,6 +159,10 @@
             .is_ok()
     }
 
+    fn patience(&self, _route: &Route) -> Option<Duration> {
+        *self.patience.lock().unwrap()
+    }
+
     fn reuse_limit(&self, _route: &RouteId) -> Duration {
         *self.reuse_limit.lock().unwrap()
     }
@@ -266,6 +271,7 @@
             blocked: AtomicBool::new(false),
             reports: AtomicUsize::new(0),
             reuse_limit: Mutex::new(Duration::from_millis(250)),
+            patience: Mutex::default(),
         });
         let parts = Parts {
             config: fakes.clone(),
--- /dev/null
+++ b/tests/path/overdue.rs
@@ -0,0 +1,206 @@
+//! Upstreams that take longer than usual for a request: others are tried, and the one at work is kept.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::io::WriteExt;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use zinnialoom::code::Code;
+
+use crate::fakes::Entry;
+use crate::fakes::any;
+use crate::fakes::read_all;
+use crate::fakes::request;
+use crate::fakes::status;
+use crate::fakes::verdict;
+use crate::script::Line;
+use crate::script::OK;
+use crate::script::Script;
+use crate::script::Step::Answer;
+use crate::script::Step::Silent;
+use crate::script::Step::Wait;
+use crate::script::Step::Write;
+
+const PATIENCE: Duration = Duration::from_millis(60);
+const LATE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate";
+const SHED: &str = "HTTP/1.1 503 -\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+const FAILED: &str = "HTTP/1.1 500 -\r\ncontent-length: 0\r\n\r\n";
+/// Works on a request for longer than the patience.
+const SLOW: Line = &[Answer(""), Wait(300), Write(LATE)];
+
+async fn entry(upstreams: &[SocketAddr]) -> Entry {
+    let entry = Entry::start(upstreams).await;
+    *entry.fakes.patience.lock().unwrap() = Some(PATIENCE);
+    entry
+}
+
+fn is_late_answer(answer: &str) -> bool {
+    status(answer) == 200 && answer.ends_with("\r\n\r\nlate")
+}
+
+/// Guards against closing the connection to an upstream at work before the retry budget is asked for
+/// the repeat that was to replace it.
+#[async_std::test]
+async fn an_upstream_at_work_is_kept_without_retry_budget() {
+    let slow = Script::start(&[SLOW]).await;
+    let spare = Script::start(&[&[Answer(OK)]]).await;
+    let entry = entry(&[slow.address, spare.address]).await;
+    entry.fakes.retries.store(0, Ordering::SeqCst);
+    let answer = entry.ask("GET", "/forecast", "").await;
+    assert!(is_late_answer(&answer), "{answer}");
+    assert_eq!((slow.requests(), spare.requests()), (1, 0));
+}
+
+/// Guards against closing the connection to an upstream at work although there is no other.
+#[async_std::test]
+async fn an_upstream_at_work_is_kept_without_another() {
+    let slow = Script::start(&[SLOW]).await;
+    let entry = entry(&[slow.address]).await;
+    let answer = entry.ask("GET", "/forecast", "").await;
+    assert!(is_late_answer(&answer), "{answer}");
+    assert_eq!(slow.requests(), 1);
+}
+
+/// Guards against the loss of an answer because the upstream that was tried next is full.
+#[async_std::test]
+async fn an_upstream_at_work_is_kept_while_all_others_are_full() {
+    let slow = Script::start(&[SLOW]).await;
+    let spare = Script::start(&[&[Answer(OK)]]).await;
+    let entry = entry(&[slow.address, spare.address]).await;
+    entry.fakes.cap.store(1, Ordering::SeqCst);
+    let answer = entry
+        .ask("GET", "/forecast", "x-request-timeout-ms: 1000\r\n")
+        .await;
+    assert!(is_late_answer(&answer), "{answer}");
+}
+
+/// Guards against the loss of an answer because the upstream that was tried next fails in any way.
+#[async_std::test]
+async fn an_upstream_at_work_is_kept_when_the_next_one_fails() {
+    static LINES: [&[Line]; 4] = [
+        &[&[Answer("")]],
+        &[&[Answer(SHED)]],
+        &[&[Answer(FAILED)]],
+        &[&[Answer("SSH-2.0\r\n\r\n")]],
+    ];
+    for lines in LINES {
+        let slow = Script::start(&[SLOW]).await;
+        let next = Script::start(lines).await;
+        let entry = entry(&[slow.address, next.address]).await;
+        let answer = entry.ask("GET", "/forecast", "").await;
+        assert!(is_late_answer(&answer), "{lines:?}: {answer}");
+        assert_eq!((slow.requests(), next.requests()), (1, 1), "{lines:?}");
+    }
+}
+
+/// Guards against the loss of an answer because the upstream that was tried next cannot be reached.
+#[async_std::test]
+async fn an_upstream_at_work_is_kept_when_the_next_one_refuses_connections() {
+    let closed = TcpListener::bind(any()).await.unwrap().local_addr().unwrap();
+    let slow = Script::start(&[SLOW]).await;
+    let entry = entry(&[slow.address, closed]).await;
+    let answer = entry.ask("GET", "/forecast", "").await;
+    assert!(is_late_answer(&answer), "{answer}");
+}
+
+/// Guards against a stop that ends with an error of the system for a request on which an upstream works.
+#[async_std::test]
+async fn a_stop_waits_for_an_upstream_at_work() {
+    let slow = Script::start(&[SLOW]).await;
+    let entry = entry(&[slow.address]).await;
+    entry.fakes.retries.store(0, Ordering::SeqCst);
+    let mut caller = TcpStream::connect(entry.running.address()).await.unwrap();
+    let text = request("GET", "/forecast", "");
+    caller.write_all(text.as_bytes()).await.unwrap();
+    task::sleep(PATIENCE / 2).await;
+    let stop = task::spawn(async move { entry.running.stop(Duration::from_secs(3)).await });
+    let answer = read_all(&mut caller).await;
+    assert!(is_late_answer(&answer), "{answer}");
+    assert_eq!(stop.await, 0);
+}
+
+/// Guards against the loss of an answer on a reused connection that seemed silent, when the fresh
+/// connection that was to replace it fails.
+#[async_std::test]
+async fn a_reused_connection_at_work_is_kept_when_a_fresh_one_fails() {
+    let script = Script::start(&[&[Answer(OK), Answer(""), Wait(300), Write(LATE)], &[]]).await;
+    let entry = Entry::start(&[script.address]).await;
+    *entry.fakes.reuse_limit.lock().unwrap() = PATIENCE;
+    assert_eq!(status(&entry.ask("GET", "/forecast", "").await), 200);
+    let answer = entry.ask("GET", "/forecast", "").await;
+    assert!(is_late_answer(&answer), "{answer}");
+}
+
+/// Guards against waiting for a slow upstream until it answers although another one has answered, and
+/// against work that goes on there.
+#[async_std::test]
+async fn the_first_answer_wins_and_the_other_upstream_is_left() {
+    let silent = Script::start(&[&[Silent]]).await;
+    let spare = Script::start(&[&[Answer(OK)]]).await;
+    let entry = entry(&[silent.address, spare.address]).await;
+    let start = Instant::now();
+    assert_eq!(status(&entry.ask("GET", "/forecast", "").await), 200);
+    assert!(
+        start.elapsed() >= PATIENCE,
+        "the second upstream is tried too early"
+    );
+    assert!(start.elapsed() < Duration::from_secs(1));
+    task::sleep(Duration::from_millis(50)).await;
+    assert_eq!(silent.abandoned.load(Ordering::SeqCst), 1);
+    assert_eq!(entry.fakes.in_flight.load(Ordering::SeqCst), 0);
+}
+
+/// Guards against upstreams that go on working for a caller that has left.
+#[async_std::test]
+async fn all_upstreams_are_left_when_the_caller_leaves() {
+    let scripts = [
+        Script::start(&[&[Silent]]).await,
+        Script::start(&[&[Silent]]).await,
+    ];
+    let entry = entry(&[scripts[0].address, scripts[1].address]).await;
+    let mut caller = TcpStream::connect(entry.running.address()).await.unwrap();
+    let text = request("GET", "/forecast", "");
+    caller.write_all(text.as_bytes()).await.unwrap();
+    task::sleep(PATIENCE * 3).await;
+    assert_eq!(scripts.each_ref().map(Script::requests), [1, 1]);
+    drop(caller);
+    task::sleep(Duration::from_millis(100)).await;
+    let abandoned = scripts.each_ref().map(|s| s.abandoned.load(Ordering::SeqCst));
+    assert_eq!(abandoned, [1, 1]);
+    assert_eq!(entry.fakes.in_flight.load(Ordering::SeqCst), 0);
+}
+
+/// Guards against a non-idempotent request that is sent to a second upstream while the first works.
+#[async_std::test]
+async fn an_order_is_not_sent_again_while_an_upstream_works() {
+    let slow = Script::start(&[SLOW]).await;
+    let spare = Script::start(&[&[Answer(OK)]]).await;
+    let entry = entry(&[slow.address, spare.address]).await;
+    let order = "idempotency-key: o1\r\ncontent-length: 0\r\n";
+    let answer = entry.ask("POST", "/order", order).await;
+    assert!(is_late_answer(&answer), "{answer}");
+    assert_eq!((slow.requests(), spare.requests()), (1, 0));
+}
+
+/// Guards against a request whose two upstreams are both silent and that gets no answer, a wrong code or
+/// an answer after its deadline.
+#[async_std::test]
+async fn two_silent_upstreams_end_with_the_deadline() {
+    let scripts = [
+        Script::start(&[&[Silent]]).await,
+        Script::start(&[&[Silent]]).await,
+    ];
+    let entry = entry(&[scripts[0].address, scripts[1].address]).await;
+    let start = Instant::now();
+    let answer = entry
+        .ask("GET", "/forecast", "x-request-timeout-ms: 400\r\n")
+        .await;
+    let expected = (504, Code::DeadlineAfter.number(), "unknown".into());
+    assert_eq!(verdict(&answer), expected, "{answer}");
+    assert!(start.elapsed() >= Duration::from_millis(400));
+    assert!(start.elapsed() < Duration::from_millis(800));
+}
