Leave an upstream at work only for the answer of another one

Cause: when the patience for an upstream ended, the attempt was dropped, which closes the connection and ends the work there. Only after that the retry budget and another upstream were asked for. The check of the budget that was to prevent this was made when the request was sent, up to the whole target earlier; and a repeat that was allowed could still find no upstream, or one that refused, shed or reset.

Change: attempts of an idempotent request run beside each other. The end of the patience only starts the next one, if the budget, the number of attempts and the upstreams allow it; the running ones end with the answer of any of them, with their own failure, or with the deadline. A request never waits in the queue for such an extra attempt.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -204,25 +204,8 @@
         true => flight.started + flight.shared.parts.chooser.reuse_limit(&job.route.id),
         false => job.deadline,
     };
-    let chooser = &shared.parts.chooser;
     let until = until.min(job.deadline);
-    let patience = chooser.patience(&job.route).map(|p| flight.started + p);
-    let may_leave = job.idempotent && job.has_more() && chooser.allows_retry(&job.route);
-    let first = patience.map_or(until, |p| until.min(p));
-    let mut byte = answer::first_byte(&mut buffered, first).await;
-    if first < until && is_timeout(&byte) {
-        info!(
-            "attempt overdue: id={} upstream={} ms={} given_up={may_leave}",
-            job.id,
-            pick.upstream,
-            flight.started.elapsed().as_millis()
-        );
-    }
-    if first < until && !may_leave && is_timeout(&byte) {
-        // Others should not go there, but this request has no better place.
-        chooser.suspect(pick);
-        byte = answer::first_byte(&mut buffered, until).await;
-    }
+    let byte = first_byte(flight, job, pick, &mut buffered, until).await;
     flight.latency = flight.started.elapsed();
     match byte {
         Ok(true) => {}
@@ -230,7 +213,6 @@
             return Ok(Try::Stale);
         }
         _ if reused && until < job.deadline && !job.left().is_zero() => return Ok(Try::Stale),
-        _ if is_timeout(&byte) && !job.left().is_zero() => return Ok(slow()),
         Err(e) if e.kind() == io::ErrorKind::TimedOut => return Ok(late()),
         Ok(false) => return Ok(died("the connection ended before the answer")),
         Err(e) => return Ok(died(&e.to_string())),
@@ -264,6 +246,41 @@
     Ok(Try::Done(read_body(flight, job, reply, frame, conn).await))
 }
 
+/// Waits for the first byte of the answer; tells the request each time that the patience ends.
+async fn first_byte<S: Stages>(
+    flight: &InFlight<S>,
+    job: &Job,
+    pick: &Pick,
+    conn: &mut Buffered,
+    until: Instant,
+) -> io::Result<bool> {
+    let chooser = &flight.shared.parts.chooser;
+    let patience = chooser.patience(&job.route).filter(|p| !p.is_zero());
+    let Some(patience) = patience else {
+        return answer::first_byte(conn, until).await;
+    };
+    let mut overdue = flight.started + patience;
+    let mut is_known = false;
+    loop {
+        let byte = answer::first_byte(conn, until.min(overdue)).await;
+        if overdue >= until || !is_timeout(&byte) {
+            return byte;
+        }
+        info!(
+            "attempt overdue: id={} upstream={} ms={}",
+            job.id,
+            pick.upstream,
+            flight.started.elapsed().as_millis()
+        );
+        if !is_known {
+            chooser.suspect(pick);
+            is_known = true;
+        }
+        job.set_overdue();
+        overdue = Instant::now() + patience;
+    }
+}
+
 async fn read_body<S: Stages>(
     flight: &InFlight<S>,
     job: &Job,
@@ -325,12 +342,6 @@
     matches!(byte, Err(e) if e.kind() == io::ErrorKind::TimedOut)
 }
 
-/// The answer takes longer than an idempotent request waits for one upstream.
-fn slow() -> Try {
-    let detail = "no answer within the patience for one upstream";
-    Try::Done(Outcome::Unknown(Attempt::Late, detail.into()))
-}
-
 fn wrong(detail: &str) -> Try {
     Try::Done(Outcome::Unknown(Attempt::Failed, detail.into()))
 }
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -49,8 +49,8 @@
     pub(crate) idempotent: bool,
     pub(crate) fingerprint: String,
     gone: AtomicBool,
-    /// Whether another upstream may be tried after the present one.
-    more: AtomicBool,
+    /// Whether an attempt has become overdue since this was last asked.
+    overdue: AtomicBool,
     /// Attempts that were sent and are not known as not run.
     sent: AtomicUsize,
 }
@@ -81,7 +81,7 @@
             deadline,
             fingerprint: String::new(),
             gone: AtomicBool::new(false),
-            more: AtomicBool::new(false),
+            overdue: AtomicBool::new(false),
             sent: AtomicUsize::new(0),
         }
     }
@@ -107,14 +107,14 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Records whether another upstream may be tried after the present one.
-    pub(crate) fn set_more(&self, more: bool) {
-        self.more.store(more, Ordering::Relaxed);
+    /// Records that an attempt takes longer than the patience for its upstream.
+    pub(crate) fn set_overdue(&self) {
+        self.overdue.store(true, Ordering::Relaxed);
     }
 
-    /// Whether another upstream may be tried after the present one.
-    pub(crate) fn has_more(&self) -> bool {
-        self.more.load(Ordering::Relaxed)
+    /// Whether an attempt has become overdue since the last call.
+    pub(crate) fn take_overdue(&self) -> bool {
+        self.overdue.swap(false, Ordering::Relaxed)
     }
 
     /// Records that the caller has left.
@@ -132,7 +132,7 @@
         self.sent.fetch_add(1, Ordering::SeqCst);
     }
 
-    /// Records that the last attempt was sent and did not run.
+    /// Records that an attempt that was sent did not run.
     pub(crate) fn unsend(&self) {
         self.sent.fetch_sub(1, Ordering::SeqCst);
     }
--- a/src/proxy/queue.rs
+++ b/src/proxy/queue.rs
@@ -90,6 +90,18 @@
         }
     }
 
+    /// An upstream for one more attempt of a request on which others work; requests that wait go first.
+    ///
+    /// # Errors
+    /// `Overloaded` if requests wait or all upstreams are at their cap, `NoUpstream` if there is no other.
+    pub(crate) fn choose_now(self: &Arc<Self>, job: &Arc<Job>, tried: &[UpstreamId]) -> Result<InFlight<S>> {
+        let services = self.queue.services.lock().unwrap();
+        if services.contains_key(&job.route.service) {
+            return Err(Code::Overloaded.into());
+        }
+        choose(self, job, tried)
+    }
+
     fn choose_or_join(
         self: &Arc<Self>,
         job: &Arc<Job>,
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -1,7 +1,10 @@
 //! The attempts of one admitted request.
 
 use std::convert::Infallible;
+use std::future::Future;
+use std::future::poll_fn;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,6 +12,8 @@
 use async_std::future;
 use async_std::io;
 use async_std::task;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use log::info;
 use tide::http::Body;
 use tide::http::Response;
@@ -96,68 +101,137 @@
 
 /// What is known while attempts go on.
 struct Progress {
+    /// Upstreams that were chosen.
     tried: Vec<UpstreamId>,
-    /// Upstreams that got the request.
+    /// Upstreams that got the request, without those that still work on it.
     sent: usize,
+    /// Whether the request must not be sent again.
+    closed: bool,
     /// The error if no further attempt is made.
     error: Error,
     /// An answer with a status of 500 or more, returned if no further attempt does better.
     fallback: Option<Done>,
 }
 
+/// An attempt that has ended.
+type Ended<S> = (InFlight<S>, Result<Outcome>);
+
 impl<S: Stages> Shared<S> {
     /// Sends the request until it is answered or must not be sent again.
     pub(crate) async fn run(self: Arc<Self>, job: Arc<Job>, ticket: Option<Ticket<S>>) -> Done {
         let mut progress = Progress {
             tried: Vec::new(),
             sent: 0,
+            closed: false,
             error: Code::NoUpstream.into(),
             fallback: None,
         };
-        let mut ticket = ticket;
-        let attempts = match job.route.attempts {
+        if let Some((flight, answer)) = self.race(&job, ticket.as_ref(), &mut progress).await {
+            self.parts.quarantine.clear(&job.fingerprint);
+            return self.answer(&job, flight, ticket, answer).await;
+        }
+        let sent = job.is_sent();
+        if let Some(done) = progress.fallback {
+            return done;
+        }
+        let ending = if sent { Ending::Unknown } else { Ending::NotRun };
+        self.finish_claim(ticket, ending).await;
+        Done::refused(&truthful(&job, progress.error, sent))
+    }
+
+    /// Makes attempts until one is answered; the others end with that.
+    ///
+    /// An upstream that takes long is left only for the answer of another one: whatever was to replace it may
+    /// be refused, fail or take even longer.
+    async fn race(
+        self: &Arc<Self>,
+        job: &Arc<Job>,
+        ticket: Option<&Ticket<S>>,
+        progress: &mut Progress,
+    ) -> Option<(InFlight<S>, Answer)> {
+        let mut running = FuturesUnordered::new();
+        let mut more = true;
+        loop {
+            if more && let Some(flight) = self.next(job, running.len(), progress).await {
+                running.push(self.attempt(job, flight, ticket));
+            }
+            if running.is_empty() {
+                return None;
+            }
+            let Some((flight, outcome)) = ended(&mut running, job).await else {
+                more = !progress.closed;
+                continue;
+            };
+            let answered = self.judge(job, flight, outcome, progress);
+            if answered.is_some() {
+                return answered;
+            }
+            more = !progress.closed;
+        }
+    }
+
+    /// An upstream for one more attempt, beside those that run; `None` if there is none or it is not allowed.
+    async fn next(
+        self: &Arc<Self>,
+        job: &Arc<Job>,
+        running: usize,
+        progress: &mut Progress,
+    ) -> Option<InFlight<S>> {
+        let most = match job.route.attempts {
             0 => ATTEMPTS,
             most => usize::from(most),
         };
+        let sent = progress.sent + running;
         // An upstream that was not reached has not got the request.
-        while progress.sent < attempts && progress.tried.len() < attempts + UNSENT {
-            let number = match self.parts.chooser.frees_unsent() {
-                true => progress.sent,
-                false => progress.tried.len(),
-            };
-            // The last send waits for as long as the request has time.
-            job.set_more(progress.sent + 1 < attempts);
-            if number > 0 && !self.may_retry(&job) {
-                break;
+        if sent >= most || progress.tried.len() >= most + UNSENT || (running > 0 && !job.idempotent) {
+            return None;
+        }
+        let number = match self.parts.chooser.frees_unsent() {
+            true => sent,
+            false => progress.tried.len(),
+        };
+        let chosen = match running {
+            0 if number > 0 && !self.may_retry(job, true) => return None,
+            0 => self.choose(job, &progress.tried).await,
+            // The budget is taken last, because other upstreams may all be full again and again.
+            _ if !self.may_retry(job, false) => return None,
+            _ => self.choose_now(job, &progress.tried),
+        };
+        match chosen {
+            Ok(flight) if running > 0 && !self.may_retry(job, true) => {
+                flight.end(Attempt::Cancelled);
+                None
+            }
+            Ok(flight) => {
+                progress.tried.extend(flight.upstream());
+                fail::fail_point!("proxy-chosen");
+                Some(flight)
             }
-            match self.step(&job, &mut ticket, &mut progress).await {
-                Ok(Some(done)) => return done,
-                Ok(None) => {}
-                Err(error) => {
-                    info!(
-                        "not sent again: id={} service={} reason=\"{error}\"",
-                        job.id, job.route.service
-                    );
+            Err(error) => {
+                info!(
+                    "not sent again: id={} service={} running={running} reason=\"{error}\"",
+                    job.id, job.route.service
+                );
+                if running == 0 {
                     progress.error = error;
-                    break;
                 }
+                None
             }
         }
-        let sent = job.is_sent();
-        if let Some(done) = progress.fallback {
-            return done;
-        }
-        let ending = if sent { Ending::Unknown } else { Ending::NotRun };
-        self.finish_claim(ticket, ending).await;
-        Done::refused(&truthful(&job, progress.error, sent))
     }
 
-    fn may_retry(&self, job: &Job) -> bool {
+    /// Whether the request may be sent again; takes one repeat from the retry budget if `take` says so.
+    fn may_retry(&self, job: &Job, take: bool) -> bool {
+        let chooser = &self.parts.chooser;
+        let is_allowed = |job: &Job| match take {
+            true => chooser.take_retry_of(&job.route),
+            false => chooser.allows_retry(&job.route),
+        };
         let reason = if job.left().is_zero() {
             "deadline"
         } else if self.parts.quarantine.is_blocked(&job.fingerprint, Instant::now()) {
             "quarantine"
-        } else if !self.parts.chooser.take_retry_of(&job.route) {
+        } else if !is_allowed(job) {
             "budget"
         } else {
             return true;
@@ -167,18 +241,31 @@
         false
     }
 
-    /// One attempt; `None` if another may follow.
-    async fn step(
-        self: &Arc<Self>,
-        job: &Arc<Job>,
-        ticket: &mut Option<Ticket<S>>,
+    /// One attempt.
+    async fn attempt(&self, job: &Job, mut flight: InFlight<S>, ticket: Option<&Ticket<S>>) -> Ended<S> {
+        let outcome = attempt::attempt(&mut flight, &|| self.check_send(job, ticket)).await;
+        if let Ok(Outcome::Unknown(attempt, _)) = &outcome {
+            self.report(job, *attempt).await;
+        }
+        (flight, outcome)
+    }
+
+    /// Learns from an attempt that has ended; returns the answer that the caller gets, if there is one.
+    fn judge(
+        &self,
+        job: &Job,
+        flight: InFlight<S>,
+        outcome: Result<Outcome>,
         progress: &mut Progress,
-    ) -> Result<Option<Done>> {
-        let mut flight = self.choose(job, &progress.tried).await?;
-        let name = flight.upstream();
-        fail::fail_point!("proxy-chosen");
-        let outcome = attempt::attempt(&mut flight, &|| self.check_send(job, ticket.as_ref())).await?;
-        progress.tried.extend(name);
+    ) -> Option<(InFlight<S>, Answer)> {
+        let outcome = match outcome {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                progress.closed = true;
+                progress.error = error;
+                return None;
+            }
+        };
         if !matches!(outcome, Outcome::NotSent(..)) {
             progress.sent += 1;
         }
@@ -196,21 +283,14 @@
                 flight.end(Attempt::Failed);
                 progress.fallback = Some(Done::answered(full(answer), latency));
             }
-            Outcome::Answered(answer) => {
-                self.parts.quarantine.clear(&job.fingerprint);
-                return Ok(Some(self.answer(job, flight, ticket.take(), answer).await));
-            }
+            Outcome::Answered(answer) => return Some((flight, answer)),
             Outcome::Unknown(attempt, detail) => {
                 flight.end(attempt);
-                self.report(job, attempt).await;
-                let error = attempt::failure(job, attempt, &detail);
-                if !job.idempotent || job.left().is_zero() {
-                    return Err(error);
-                }
-                progress.error = error;
+                progress.error = attempt::failure(job, attempt, &detail);
+                progress.closed |= !job.idempotent || job.left().is_zero();
             }
         }
-        Ok(None)
+        None
     }
 
     /// What must hold just before the first byte of an attempt is sent.
@@ -297,6 +377,19 @@
     }
 }
 
+/// The next attempt that ends; `None` as soon as one of them is overdue.
+async fn ended<S: Stages>(
+    running: &mut FuturesUnordered<impl Future<Output = Ended<S>>>,
+    job: &Job,
+) -> Option<Ended<S>> {
+    poll_fn(|cx| match running.poll_next_unpin(cx) {
+        // An attempt tells that it is overdue while it is polled.
+        Poll::Pending if job.take_overdue() => Poll::Ready(None),
+        poll => poll,
+    })
+    .await
+}
+
 /// The response of an answer that was read to its end.
 fn full(answer: Answer) -> Response {
     let mut response = answer.reply.response();
--- a/src/stage.rs
+++ b/src/stage.rs
@@ -198,8 +198,8 @@
     /// Whether the retry budget of the service allows one more attempt; takes it if so.
     fn take_retry(&self, service: &ServiceId) -> bool;
 
-    /// How long an idempotent request waits for the first byte before another upstream is tried;
-    /// `None` for as long as its deadline allows.
+    /// How long a request waits for the first byte before its upstream is suspect and, if it is idempotent,
+    /// another one is tried beside it; `None` for as long as its deadline allows.
     fn patience(&self, _route: &Route) -> Option<Duration> {
         None
     }
