Keep a reused connection that seems silent until a fresh one has answered

The same fault as in the patience for an upstream, in the other place that gives up a running attempt: a reused connection without a byte within its limit was closed, which ends the work of an upstream that is only slow, and the request went out again on a fresh connection. When that one could not be opened or died, the caller got an error although the first would have answered.

The limit now starts a second try beside the first. An answer of either ends both; of two failures the one whose request may have run is told.

overdue::a_reused_connection_at_work_is_kept_when_a_fresh_one_fails failed before and passes now; the tests of silent and dead connections still hold.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -1,13 +1,22 @@
 //! One attempt: a request is sent to one upstream and its answer is read.
 
+use std::future::Future;
+use std::future::poll_fn;
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_std::future;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
+use futures::FutureExt;
+use futures::future::Either;
+use futures::future::select;
 use log::info;
 
 use crate::answer;
@@ -68,20 +77,35 @@
     shared: Arc<Shared<S>>,
     job: Arc<Job>,
     pick: Option<Pick>,
+    pub(crate) timing: Timing,
+}
+
+/// When a request was sent, and what the head of its answer told.
+#[derive(Clone, Copy)]
+pub(crate) struct Timing {
     started: Instant,
+    /// Time from the first byte sent to the first byte of the answer.
     pub(crate) latency: Duration,
     load: Option<u32>,
 }
 
+impl Timing {
+    fn start() -> Self {
+        Self {
+            started: Instant::now(),
+            latency: Duration::ZERO,
+            load: None,
+        }
+    }
+}
+
 impl<S: Stages> InFlight<S> {
     pub(crate) fn new(shared: &Arc<Shared<S>>, job: &Arc<Job>, pick: Pick) -> Self {
         Self {
             shared: Arc::clone(shared),
             job: Arc::clone(job),
             pick: Some(pick),
-            started: Instant::now(),
-            latency: Duration::ZERO,
-            load: None,
+            timing: Timing::start(),
         }
     }
 
@@ -103,7 +127,7 @@
             self.job.id,
             pick.upstream,
             pick.reason,
-            self.started.elapsed().as_millis()
+            self.timing.started.elapsed().as_millis()
         );
         if !matches!(attempt, Attempt::Answered | Attempt::Cancelled) {
             let about = About::detail(attempt.to_string()).request(&self.job.id);
@@ -111,10 +135,10 @@
         }
         let sample = Sample {
             attempt,
-            latency: self.latency,
+            latency: self.timing.latency,
             route: self.job.route.id.clone(),
             customer: self.job.customer.clone(),
-            load: self.load,
+            load: self.timing.load,
         };
         self.shared.parts.chooser.finish(pick, sample);
         self.shared.wake(&service);
@@ -134,6 +158,9 @@
     Stale,
 }
 
+/// How a try ended, with its measurements.
+type Tried = (Result<Try>, Timing);
+
 /// Sends the request to the upstream of `flight`.
 ///
 /// `ready` is called when the connection stands, just before the first byte is sent.
@@ -151,138 +178,218 @@
     };
     // A reused connection can die or be silent without any sign, and a request that is lost on it
     // cannot be repeated unless it is idempotent. Others pay about 1 ms for a new connection.
-    let mut reuse = job.idempotent;
-    loop {
-        let conn = match shared.pool.take(&pick, reuse, job.left()).await {
-            Ok(conn) => conn,
-            Err(e @ Unsent::Full) => return Ok(Outcome::NotSent(Attempt::Cancelled, e.to_string())),
-            Err(e) => return Ok(Outcome::NotSent(Attempt::Refused, e.to_string())),
-        };
-        fail::fail_point!("proxy-connected");
-        ready()?;
-        match try_on(flight, &job, &pick, conn).await? {
-            Try::Done(outcome) => return Ok(outcome),
-            Try::Stale if !shared.parts.chooser.reconnects() => {
-                let detail = "a reused connection died or was silent";
-                return Ok(Outcome::Unknown(Attempt::Stale, detail.into()));
-            }
-            Try::Stale => {}
+    let (tried, timing) = match job.idempotent {
+        true => try_reused(&shared, &job, &pick, ready).await,
+        false => try_with(&shared, &job, &pick, false, &AtomicBool::default(), ready).await,
+    };
+    flight.timing = timing;
+    match tried? {
+        Try::Done(outcome) => Ok(outcome),
+        Try::Stale => {
+            let detail = "a reused connection died or was silent";
+            Ok(Outcome::Unknown(Attempt::Stale, detail.into()))
         }
-        reuse = false;
     }
 }
 
+/// Tries a reused connection, and a fresh one if that is dead or silent.
+///
+/// A silent connection stays open beside the fresh one: its upstream may be at work, and the fresh one may fail.
+async fn try_reused<S: Stages>(
+    shared: &Arc<Shared<S>>,
+    job: &Job,
+    pick: &Pick,
+    ready: &(impl Fn() -> Result<()> + Sync),
+) -> Tried {
+    let (silent, unused) = (AtomicBool::default(), AtomicBool::default());
+    let mut first = pin!(try_with(shared, job, pick, true, &silent, ready));
+    let fresh = try_with(shared, job, pick, false, &unused, ready);
+    match until_silent(first.as_mut(), &silent).await {
+        Some((Ok(Try::Stale), _)) if shared.parts.chooser.reconnects() => return fresh.await,
+        Some(tried) => return tried,
+        None => info!(
+            "reused connection silent: id={} upstream={}",
+            job.id, pick.upstream
+        ),
+    }
+    match select(first, pin!(fresh)).await {
+        Either::Left((tried, fresh)) => better(tried, fresh).await,
+        Either::Right((tried, first)) => better(tried, first).await,
+    }
+}
+
+/// Runs a try until it ends; `None` as soon as it tells that its connection is silent.
+async fn until_silent(mut first: impl Future<Output = Tried> + Unpin, silent: &AtomicBool) -> Option<Tried> {
+    poll_fn(|cx| match first.poll_unpin(cx) {
+        Poll::Ready(tried) => Poll::Ready(Some(tried)),
+        Poll::Pending if silent.load(Ordering::Relaxed) => Poll::Ready(None),
+        Poll::Pending => Poll::Pending,
+    })
+    .await
+}
+
+/// The answer of the try that has ended, or else what the other one leads to.
+async fn better(tried: Tried, other: impl Future<Output = Tried>) -> Tried {
+    if matches!(tried.0, Ok(Try::Done(Outcome::Answered(_)))) {
+        return tried;
+    }
+    let other = other.await;
+    match other.0 {
+        // Of two that failed, the one whose request may have run is told.
+        Ok(Try::Done(Outcome::Answered(_) | Outcome::Unknown(..))) => other,
+        _ if matches!(tried.0, Ok(Try::Done(Outcome::Unknown(..)))) => tried,
+        _ => other,
+    }
+}
+
+/// Tries one connection; an idle one if `reuse` allows it.
+async fn try_with<S: Stages>(
+    shared: &Arc<Shared<S>>,
+    job: &Job,
+    pick: &Pick,
+    reuse: bool,
+    silent: &AtomicBool,
+    ready: &(impl Fn() -> Result<()> + Sync),
+) -> Tried {
+    let mut timing = Timing::start();
+    let unsent = match shared.pool.take(pick, reuse, job.left()).await {
+        Ok(conn) => {
+            fail::fail_point!("proxy-connected");
+            let tried = match ready() {
+                Ok(()) => Ok(try_on(shared, &mut timing, job, pick, conn, silent).await),
+                Err(error) => Err(error),
+            };
+            return (tried, timing);
+        }
+        Err(unsent) => unsent,
+    };
+    let attempt = match unsent {
+        Unsent::Full => Attempt::Cancelled,
+        _ => Attempt::Refused,
+    };
+    (
+        Ok(Try::Done(Outcome::NotSent(attempt, unsent.to_string()))),
+        timing,
+    )
+}
+
 async fn try_on<S: Stages>(
-    flight: &mut InFlight<S>,
+    shared: &Arc<Shared<S>>,
+    timing: &mut Timing,
     job: &Job,
     pick: &Pick,
     conn: Connection,
-) -> Result<Try> {
-    let shared = Arc::clone(&flight.shared);
+    silent: &AtomicBool,
+) -> Try {
     let dialect = &shared.settings.dialect;
     let id = match dialect.keeps_id {
         true => job.given_id.clone(),
-        false => flight.shared.next_id(),
+        false => shared.next_id(),
     };
     let bytes = forward::encode(job, pick, &id, dialect);
-    flight.started = Instant::now();
+    timing.started = Instant::now();
     let reused = conn.reused;
     let written = write(&conn.stream, &bytes, job).await;
     match written {
         Written::All => {}
-        Written::Nothing if reused => return Ok(Try::Stale),
+        Written::Nothing if reused => return Try::Stale,
         Written::Nothing => {
             let detail = "the connection took no byte".into();
-            return Ok(Try::Done(Outcome::NotSent(Attempt::Refused, detail)));
+            return Try::Done(Outcome::NotSent(Attempt::Refused, detail));
         }
         // An upstream may answer and close before it has read the whole body.
         Written::Part => {}
     }
     fail::fail_point!("proxy-sent");
     let mut buffered = Buffered::new(conn.stream.clone());
-    let until = match reused {
-        true => flight.started + flight.shared.parts.chooser.reuse_limit(&job.route.id),
-        false => job.deadline,
-    };
-    let until = until.min(job.deadline);
-    let byte = first_byte(flight, job, pick, &mut buffered, until).await;
-    flight.latency = flight.started.elapsed();
+    let limit = reused.then(|| timing.started + shared.parts.chooser.reuse_limit(&job.route.id));
+    let byte = first_byte(shared, timing.started, job, pick, &mut buffered, limit, silent).await;
+    timing.latency = timing.started.elapsed();
     match byte {
         Ok(true) => {}
         Err(_) | Ok(false) if reused && !is_timeout(&byte) && !job.left().is_zero() => {
-            return Ok(Try::Stale);
+            return Try::Stale;
         }
-        _ if reused && until < job.deadline && !job.left().is_zero() => return Ok(Try::Stale),
-        Err(e) if e.kind() == io::ErrorKind::TimedOut => return Ok(late()),
-        Ok(false) => return Ok(died("the connection ended before the answer")),
-        Err(e) => return Ok(died(&e.to_string())),
+        Err(e) if e.kind() == io::ErrorKind::TimedOut => return late(),
+        Ok(false) => return died("the connection ended before the answer"),
+        Err(e) => return died(&e.to_string()),
     }
     let mut reply = match future::timeout(job.left(), answer::read_head(&mut buffered, job.method)).await {
         Ok(Ok(reply)) => reply,
-        Ok(Err(e)) if e.kind() == io::ErrorKind::InvalidData => return Ok(wrong(&e.to_string())),
-        Ok(Err(e)) => return Ok(died(&e.to_string())),
-        Err(_) => return Ok(late()),
+        Ok(Err(e)) if e.kind() == io::ErrorKind::InvalidData => return wrong(&e.to_string()),
+        Ok(Err(e)) => return died(&e.to_string()),
+        Err(_) => return late(),
     };
     fail::fail_point!("proxy-head");
     // A foreign id means that the answer belongs to another request.
     match reply.header(&dialect.id) {
-        Some(other) if other != id => return Ok(wrong("the answer belongs to another request")),
-        None if dialect.echoes_id => return Ok(wrong("the answer names no request")),
+        Some(other) if other != id => return wrong("the answer belongs to another request"),
+        None if dialect.echoes_id => return wrong("the answer names no request"),
         _ => {}
     }
     let stamp = dialect.stamp.as_deref();
     if reply.status.is_success() && stamp.is_some_and(|name| reply.header(name).is_none()) {
-        return Ok(wrong("a success without the mark of an upstream"));
+        return wrong("a success without the mark of an upstream");
     }
     // The upstream may still wait for the rest of the body.
     reply.close |= !matches!(written, Written::All);
-    flight.load = reply.header("x-load").and_then(|load| load.parse().ok());
+    timing.load = reply.header("x-load").and_then(|load| load.parse().ok());
     let frame = Frame::new(buffered, reply.framing);
     if reply.is_not_run(dialect) {
         job.unsend();
-        shed(flight, &reply, frame, conn).await;
-        return Ok(Try::Done(Outcome::NotRun));
+        shed(shared, &reply, frame, conn).await;
+        return Try::Done(Outcome::NotRun);
     }
-    Ok(Try::Done(read_body(flight, job, reply, frame, conn).await))
+    Try::Done(read_body(shared, job, reply, frame, conn).await)
 }
 
-/// Waits for the first byte of the answer; tells the request each time that the patience ends.
+/// Waits for the first byte of the answer until the deadline.
+///
+/// Tells the request each time that the patience ends, and sets `silent` at `limit`.
 async fn first_byte<S: Stages>(
-    flight: &InFlight<S>,
+    shared: &Shared<S>,
+    started: Instant,
     job: &Job,
     pick: &Pick,
     conn: &mut Buffered,
-    until: Instant,
+    limit: Option<Instant>,
+    silent: &AtomicBool,
 ) -> io::Result<bool> {
-    let chooser = &flight.shared.parts.chooser;
+    let chooser = &shared.parts.chooser;
     let patience = chooser.patience(&job.route).filter(|p| !p.is_zero());
-    let Some(patience) = patience else {
-        return answer::first_byte(conn, until).await;
-    };
-    let mut overdue = flight.started + patience;
+    let mut overdue = patience.map(|p| started + p);
+    let mut limit = limit;
     let mut is_known = false;
     loop {
-        let byte = answer::first_byte(conn, until.min(overdue)).await;
-        if overdue >= until || !is_timeout(&byte) {
+        let next = [overdue, limit].into_iter().flatten().min();
+        let until = next.map_or(job.deadline, |at| at.min(job.deadline));
+        let byte = answer::first_byte(conn, until).await;
+        if until >= job.deadline || !is_timeout(&byte) {
             return byte;
         }
+        if limit.take_if(|at| *at <= until).is_some() {
+            silent.store(true, Ordering::Relaxed);
+        }
+        if overdue.is_none_or(|at| at > until) {
+            continue;
+        }
         info!(
             "attempt overdue: id={} upstream={} ms={}",
             job.id,
             pick.upstream,
-            flight.started.elapsed().as_millis()
+            started.elapsed().as_millis()
         );
         if !is_known {
             chooser.suspect(pick);
             is_known = true;
         }
         job.set_overdue();
-        overdue = Instant::now() + patience;
+        overdue = patience.map(|p| Instant::now() + p);
     }
 }
 
 async fn read_body<S: Stages>(
-    flight: &InFlight<S>,
+    shared: &Shared<S>,
     job: &Job,
     reply: Reply,
     mut frame: Frame,
@@ -306,18 +413,18 @@
         }
         Err(_) => return Outcome::Unknown(Attempt::Late, "the deadline passed inside the answer".into()),
     }
-    keep(&flight.shared, &reply, &frame, conn);
+    keep(shared, &reply, &frame, conn);
     Outcome::Answered(Answer {
         reply,
         body: AnswerBody::Full(body),
     })
 }
 
-async fn shed<S: Stages>(flight: &InFlight<S>, reply: &Reply, mut frame: Frame, conn: Connection) {
+async fn shed<S: Stages>(shared: &Shared<S>, reply: &Reply, mut frame: Frame, conn: Connection) {
     let mut body = Vec::new();
     let read = answer::read_short(&mut frame, &mut body);
     if let Ok(Ok(_)) = future::timeout(SHED_LIMIT, read).await {
-        keep(&flight.shared, reply, &frame, conn);
+        keep(shared, reply, &frame, conn);
     }
 }
 
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -279,7 +279,7 @@
                 progress.error = Error::new(Code::Overloaded, "every tried upstream sheds load or drains");
             }
             Outcome::Answered(answer) if self.is_worth_retry(job, &answer) => {
-                let latency = flight.latency;
+                let latency = flight.timing.latency;
                 flight.end(Attempt::Failed);
                 progress.fallback = Some(Done::answered(full(answer), latency));
             }
@@ -334,7 +334,7 @@
         ticket: Option<Ticket<S>>,
         answer: Answer,
     ) -> Done {
-        let latency = flight.latency;
+        let latency = flight.timing.latency;
         let reply = match answer.body {
             AnswerBody::Full(_) => {
                 self.finish_answered(&answer, ticket).await;
