Write the queued log lines before a process ends

Cause: a thread of its own writes the lines of standard output, and the exit of the process ends it. The line "stopped" and what a stop left unfinished were lost with whatever was queued.

Change: all programs wait at their end until queued lines are written, 200 ms at most.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,10 +7,12 @@
 
 use crate::code::Code;
 use crate::error::Result;
+use crate::logger;
 
 /// Parses the command line, runs the work and returns the exit code of the process.
 ///
-/// Help goes to standard output; errors go to standard error with the name of the program.
+/// Help goes to standard output; errors go to standard error with the name of the program. Queued log
+/// lines are written before it returns, because the exit of the process ends the thread that writes them.
 pub fn run<F, W>(name: &str, work: impl FnOnce(F) -> W) -> i32
 where
     F: FromArgs,
@@ -29,11 +31,13 @@
             return Code::BadParams.exit();
         }
     };
-    match task::block_on(work(flags)) {
+    let code = match task::block_on(work(flags)) {
         Ok(()) => Code::Ok.exit(),
         Err(error) => {
             eprintln!("{name}: {error}");
             error.code.exit()
         }
-    }
+    };
+    logger::flush();
+    code
 }
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -4,11 +4,14 @@
 use std::io;
 use std::io::Write;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use log::LevelFilter;
 
@@ -58,7 +61,15 @@
 /// Lines written at once.
 const BATCH_BYTES: usize = 16 << 10;
 
+/// How long the end of a process waits for queued lines. A reader that reads takes a full queue within a
+/// few milliseconds; a stop leaves 5 % of its time to the end of the process, which is 300 ms of 6 s.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+/// How often the end of a process looks whether all lines are written.
+const FLUSH_POLL: Duration = Duration::from_millis(1);
+
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+/// Lines that are queued or being written.
+static PENDING: AtomicUsize = AtomicUsize::new(0);
 
 /// Lines that were left out because the reader of standard output was too slow.
 pub fn left_out() -> u64 {
@@ -100,8 +111,21 @@
         .map_err(|e| failed(&e))
 }
 
+/// Waits until all lines logged so far are written; the last step of a program.
+///
+/// Ends after 200 ms if nobody reads standard output. Blocks the thread.
+pub fn flush() {
+    let end = Instant::now() + FLUSH_LIMIT;
+    while PENDING.load(Ordering::SeqCst) > 0 && Instant::now() < end {
+        thread::sleep(FLUSH_POLL);
+    }
+}
+
 fn push(queue: &SyncSender<String>, line: String) {
+    // Counted first, so that the writer never takes a line that is not counted yet.
+    PENDING.fetch_add(1, Ordering::SeqCst);
     if queue.try_send(line).is_err() {
+        PENDING.fetch_sub(1, Ordering::SeqCst);
         LEFT_OUT.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -110,11 +134,13 @@
     let mut told = 0;
     while let Ok(first) = lines.recv() {
         let mut batch = first + "\n";
+        let mut count = 1;
         while batch.len() < BATCH_BYTES
             && let Ok(line) = lines.try_recv()
         {
             batch += &line;
             batch.push('\n');
+            count += 1;
         }
         let left = left_out();
         if left > told {
@@ -123,5 +149,6 @@
         }
         // Without a reader there is nobody to tell.
         let _ = io::stdout().lock().write_all(batch.as_bytes());
+        PENDING.fetch_sub(count, Ordering::SeqCst);
     }
 }
