Log and count answers that are not written to their end

Cause: the accept loop closes connections without a line. Nobody can tell afterwards whether a request that was read ended without a whole answer, nor which one.

Change: the accept loop lists the requests that it has read and not answered; the proxy names them by their id. An answer that ends early has one line with id, caller, reason and time, and is counted by reason in zinnia_answers_unwritten_total. A body that is not there in time has a line. Accept errors, refused connections and refused heads, which callers can cause at will, have one line a second and kind, with the number of those left out. A normal request has no further line. Writing moves to http/write.rs.

--- a/src/http.rs
+++ b/src/http.rs
@@ -9,30 +9,26 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
-use async_h1::server::Encoder;
 use async_std::channel;
 use async_std::channel::Receiver;
 use async_std::channel::Sender;
 use async_std::future;
 use async_std::io::BufReader;
-use async_std::io::ReadExt;
-use async_std::io::WriteExt;
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
 use async_std::task;
 use futures::FutureExt;
 use futures::future::Either;
 use futures::future::select;
+use log::info;
+use log::warn;
 use tide::http::Body;
-use tide::http::Method;
 use tide::http::Request;
 use tide::http::Response;
 
-use crate::answer;
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
@@ -41,19 +37,27 @@
 use crate::frame::Framing;
 use crate::head;
 use crate::head::Head;
+use crate::id::RequestId;
+use crate::logger::Pace;
+
+mod open;
+mod write;
+
+use self::open::Entry;
+use self::open::Exchange;
+use self::open::Open;
+use self::write::LINGER;
+use self::write::linger;
+use self::write::send_refusal;
+use self::write::write;
+
+pub use self::open::Asked;
+pub use self::open::Unwritten;
 
-/// Bytes of an answer written at once.
-const WRITE_BYTES: usize = 16 << 10;
-/// Least room in the write buffer for a part of the body; the chunk encoder panics below some bytes.
-const BODY_ROOM: usize = 1 << 10;
 /// Pause after a failed accept, which usually means that the process has no free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Connections over the limit that are told so at the same time; others are closed at once.
 const REFUSALS: usize = 64;
-/// How long and how much is read from a caller that still sends while its connection is closed.
-/// Closing with unread bytes resets the connection, and the caller may lose the answer.
-const LINGER: Duration = Duration::from_secs(1);
-const LINGER_BYTES: usize = 256 << 10;
 /// How often a stop checks whether all connections are closed.
 const STOP_POLL: Duration = Duration::from_millis(5);
 
@@ -88,9 +92,15 @@
     /// Address of the caller.
     pub address: SocketAddr,
     stream: TcpStream,
+    asked: Arc<Asked>,
 }
 
 impl Caller {
+    /// Names the request in the lines of the accept loop; only the first name holds.
+    pub fn set_id(&self, id: RequestId) {
+        self.asked.set_id(id);
+    }
+
     /// Waits until the caller has closed its side of the connection.
     ///
     /// Meaningful only after the body of the request was read. A caller that sends its next request
@@ -112,18 +122,32 @@
 
     /// Counts a request that was refused before it reached the handler.
     fn refused(&self, _code: Code) {}
+
+    /// Counts an answer that was not written to its end.
+    fn unwritten(&self, _reason: Unwritten) {}
 }
 
 struct Shared<H> {
+    address: SocketAddr,
     handler: Arc<H>,
     limits: Limits,
     state: Arc<State>,
     stopped: Receiver<Infallible>,
+    paces: Paces,
+}
+
+/// Rates of the lines that callers can cause without a request that is read.
+#[derive(Default)]
+struct Paces {
+    accepts: Pace,
+    refusals: Pace,
+    heads: Pace,
 }
 
 #[derive(Default)]
 struct State {
     open: AtomicUsize,
+    requests: Open,
     refusals: AtomicUsize,
     draining: AtomicBool,
 }
@@ -147,17 +171,32 @@
         self.state.open.load(Ordering::SeqCst)
     }
 
+    /// Requests that were read and are not answered.
+    pub fn requests(&self) -> usize {
+        self.state.requests.count()
+    }
+
+    /// These requests, the oldest first.
+    pub fn unanswered(&self) -> Vec<Arc<Asked>> {
+        self.state.requests.list()
+    }
+
     /// Continues to accept and serve, but sends `connection: close` with each answer.
     pub fn drain(&self) {
         self.state.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Stops accepting and closes idle connections; running requests go on.
+    pub fn close(&self) {
+        self.drain();
+        self.stop.lock().unwrap().take();
+    }
+
     /// Stops accepting, closes idle connections and waits until running requests are answered.
     ///
     /// Returns the number of connections that are still open after `limit`.
     pub async fn stop(&self, limit: Duration) -> usize {
-        self.drain();
-        self.stop.lock().unwrap().take();
+        self.close();
         let end = Instant::now() + limit;
         while self.connections() > 0 && Instant::now() < end {
             task::sleep(STOP_POLL).await;
@@ -177,10 +216,12 @@
     let (stop, stopped) = channel::bounded(1);
     let state = Arc::new(State::default());
     let shared = Shared {
+        address,
         handler,
         limits,
         state: Arc::clone(&state),
         stopped,
+        paces: Paces::default(),
     };
     task::spawn(accept(listener, Arc::new(shared)));
     Ok(Running {
@@ -198,9 +239,16 @@
             Either::Left((accepted, _)) => accepted,
             Either::Right(_) => return,
         };
-        let Ok((stream, address)) = accepted else {
-            task::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let (stream, address) = match accepted {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                if let Some(skipped) = shared.paces.accepts.take(Instant::now()) {
+                    let port = shared.address;
+                    warn!("accept failed: port={port} skipped={skipped} detail=\"{e}\"");
+                }
+                task::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let _ = stream.set_nodelay(true);
         let shared = Arc::clone(&shared);
@@ -209,7 +257,7 @@
                 serve(&shared, stream, address).await;
                 drop(slot);
             }),
-            None => task::spawn(async move { refuse(&shared, stream).await }),
+            None => task::spawn(async move { refuse(&shared, stream, address).await }),
         };
     }
 }
@@ -231,8 +279,12 @@
     }
 }
 
-async fn refuse<H: Handler>(shared: &Shared<H>, stream: TcpStream) {
+async fn refuse<H: Handler>(shared: &Shared<H>, stream: TcpStream, caller: SocketAddr) {
     shared.handler.refused(Code::Overloaded);
+    if let Some(skipped) = shared.paces.refusals.take(Instant::now()) {
+        let (port, limit) = (shared.address, shared.limits.connections);
+        warn!("connection refused: port={port} caller={caller} limit={limit} skipped={skipped}");
+    }
     if shared.state.refusals.fetch_add(1, Ordering::SeqCst) < REFUSALS {
         let error = Error::new(Code::Overloaded, "too many connections to this VM");
         let _ = send_refusal(&stream, &error, LINGER).await;
@@ -251,18 +303,27 @@
         wait = shared.limits.idle;
         let head = match head::read(&mut conn, shared.limits.read).await {
             Ok(head) => head,
-            Err(e) if e.code == Code::Io => return,
+            Err(e) if e.code == Code::Io => {
+                // Between requests a caller may close its connection at any time.
+                if !conn.data().is_empty() {
+                    log_head(shared, address, &e, false);
+                }
+                return;
+            }
             Err(e) => {
                 shared.handler.refused(e.code);
-                let _ = send_refusal(&stream, &e, shared.limits.write).await;
+                let sent = send_refusal(&stream, &e, shared.limits.write).await;
+                log_head(shared, address, &e, sent.is_ok());
                 return linger(stream).await;
             }
         };
+        let entry = Entry::new(&shared.state.requests, address);
         let caller = Caller {
             address,
             stream: stream.clone(),
+            asked: Arc::clone(&entry.asked),
         };
-        match exchange(shared, head, conn, caller).await {
+        match exchange(shared, head, conn, caller, entry).await {
             Next::Request(rest) => conn = rest,
             Next::Linger => return linger(stream).await,
             Next::Close => return,
@@ -270,6 +331,17 @@
     }
 }
 
+fn log_head<H>(shared: &Shared<H>, caller: SocketAddr, error: &Error, answered: bool) {
+    if let Some(skipped) = shared.paces.heads.take(Instant::now()) {
+        info!(
+            "head refused: port={} caller={caller} code={} answered={answered} skipped={skipped} detail=\"{}\"",
+            shared.address,
+            error.code.number(),
+            error.detail
+        );
+    }
+}
+
 enum Next {
     Request(Buffered),
     /// Close after the caller has read the answer.
@@ -279,7 +351,14 @@
 }
 
 /// Answers one request.
-async fn exchange<H: Handler>(shared: &Shared<H>, head: Head, conn: Buffered, caller: Caller) -> Next {
+async fn exchange<H: Handler>(
+    shared: &Shared<H>,
+    head: Head,
+    conn: Buffered,
+    caller: Caller,
+    entry: Entry<'_>,
+) -> Next {
+    let exchange = Exchange::new(&*shared.handler, entry);
     let mut request = head.request;
     let method = request.method();
     let stream = caller.stream.clone();
@@ -298,10 +377,8 @@
     if close {
         response.insert_header("connection", "close");
     }
-    if write(&stream, response, method, shared.limits.write)
-        .await
-        .is_err()
-    {
+    if let Err((reason, e)) = write(&stream, response, method, shared.limits.write).await {
+        exchange.end_unwritten(reason, &e.to_string());
         return Next::Close;
     }
     match frame.take_conn() {
@@ -317,12 +394,17 @@
     caller: Caller,
     frame: &Frame,
 ) -> Response {
+    let asked = Arc::clone(&caller.asked);
     let respond = shared.handler.respond(request, caller);
     if frame.is_done() {
         return respond.await;
     }
     let expire = async {
         task::sleep(shared.limits.read).await;
+        if !frame.is_done() {
+            let (id, caller, ms) = (asked.id(), asked.caller, asked.millis());
+            info!("body not read in time: id={id} caller={caller} ms={ms}");
+        }
         frame.expire();
     };
     futures::pin_mut!(respond, expire);
@@ -357,56 +439,3 @@
         Either::Right((_, peek)) => matches!(peek.now_or_never(), Some(Ok(Ok(1)))),
     }
 }
-
-async fn send_refusal(stream: &TcpStream, error: &Error, limit: Duration) -> io::Result<()> {
-    let mut response = answer::refusal(error);
-    response.insert_header("connection", "close");
-    write(stream, response, Method::Get, limit).await
-}
-
-/// Writes an answer; after an error the connection must be closed, so that the answer looks cut.
-async fn write(
-    mut stream: &TcpStream,
-    response: Response,
-    method: Method,
-    limit: Duration,
-) -> io::Result<()> {
-    let mut encoder = Encoder::new(response, method);
-    let mut buffer = vec![0; WRITE_BYTES];
-    loop {
-        let mut count = encoder.read(&mut buffer).await?;
-        if count == 0 {
-            return Ok(());
-        }
-        let mut failed = None;
-        // A body that is ready leaves in one segment with its head.
-        if buffer.len() - count >= BODY_ROOM {
-            match futures::poll!(Box::pin(encoder.read(&mut buffer[count..]))) {
-                Poll::Ready(Ok(more)) => count += more,
-                Poll::Ready(Err(e)) => failed = Some(e),
-                Poll::Pending => {}
-            }
-        }
-        let written = future::timeout(limit, stream.write_all(&buffer[..count])).await;
-        written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        if let Some(e) = failed {
-            return Err(e);
-        }
-    }
-}
-
-/// Closes a connection whose caller may still be sending.
-async fn linger(mut stream: TcpStream) {
-    let _ = stream.shutdown(std::net::Shutdown::Write);
-    let mut buffer = vec![0; WRITE_BYTES];
-    let drain = async {
-        let mut total = 0;
-        while total < LINGER_BYTES {
-            match stream.read(&mut buffer).await {
-                Ok(count @ 1..) => total += count,
-                _ => return,
-            }
-        }
-    };
-    let _ = future::timeout(LINGER, drain).await;
-}
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::io::Write;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -152,3 +153,29 @@
         PENDING.fetch_sub(count, Ordering::SeqCst);
     }
 }
+
+/// Time between two lines of a kind that callers can cause at will; a line a second shows that it goes on.
+const PACE: Duration = Duration::from_secs(1);
+
+/// Limits the lines of one kind to one a second.
+#[derive(Default)]
+pub(crate) struct Pace(Mutex<Paced>);
+
+#[derive(Default)]
+struct Paced {
+    last: Option<Instant>,
+    skipped: u64,
+}
+
+impl Pace {
+    /// Counts one event; the number of events since the last line if it is time for another.
+    pub(crate) fn take(&self, now: Instant) -> Option<u64> {
+        let mut paced = self.0.lock().unwrap();
+        if paced.last.is_some_and(|l| now.duration_since(l) < PACE) {
+            paced.skipped += 1;
+            return None;
+        }
+        paced.last = Some(now);
+        Some(std::mem::take(&mut paced.skipped))
+    }
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -30,6 +30,7 @@
 use crate::head;
 use crate::http::Caller;
 use crate::http::Handler;
+use crate::http::Unwritten;
 use crate::id::RequestId;
 use crate::pool::Pool;
 use crate::settings::EntrySettings;
@@ -213,6 +214,7 @@
         }
         let start = Instant::now();
         let mut trace = Trace::new(&request, || self.shared.next_id());
+        caller.set_id(trace.id.clone());
         let mut done = match self.shared.admit(request, start, &mut trace).await {
             Ok(Admitted::Run(job, ticket)) => self.shared.clone().execute(job, ticket, caller).await,
             Ok(Admitted::Recorded(response)) => Done::recorded(response),
@@ -227,6 +229,10 @@
     fn refused(&self, code: Code) {
         self.shared.meter.count_refusal(code);
     }
+
+    fn unwritten(&self, reason: Unwritten) {
+        self.shared.meter.count_unwritten(reason);
+    }
 }
 
 /// Route and customer of a request.
--- a/src/proxy/meter.rs
+++ b/src/proxy/meter.rs
@@ -11,6 +11,7 @@
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
+use crate::http::Unwritten;
 
 use super::run::Done;
 
@@ -22,6 +23,7 @@
 pub(crate) struct Meter {
     requests: IntCounterVec,
     added: Histogram,
+    unwritten: IntCounterVec,
 }
 
 impl Meter {
@@ -37,9 +39,19 @@
             "Time from the read head to the answer, without the time of upstreams",
         );
         let added = Histogram::with_opts(options.buckets(BOUNDS.to_vec())).map_err(failed)?;
+        let options = Opts::new(
+            "zinnia_answers_unwritten_total",
+            "Requests that were read and whose answer was not written to its end, by reason",
+        );
+        let unwritten = IntCounterVec::new(options, &["reason"]).map_err(failed)?;
         registry.register(Box::new(requests.clone())).map_err(failed)?;
         registry.register(Box::new(added.clone())).map_err(failed)?;
-        Ok(Self { requests, added })
+        registry.register(Box::new(unwritten.clone())).map_err(failed)?;
+        Ok(Self {
+            requests,
+            added,
+            unwritten,
+        })
     }
 
     pub(crate) fn count(&self, done: &Done, total: Duration) {
@@ -55,4 +67,9 @@
         let run: &'static str = code.run().into();
         self.requests.with_label_values(&[name, run]).inc();
     }
+
+    pub(crate) fn count_unwritten(&self, reason: Unwritten) {
+        let name: &'static str = reason.into();
+        self.unwritten.with_label_values(&[name]).inc();
+    }
 }
