Log the steps of a planned stop and the requests that it leaves unfinished

Cause: the line of a stop counted the background tasks only, so that a running idempotent request did not show, and no line said how long the stop lasts, when the port closes or which requests were cut by its end.

Change: one line each for the signal, the start with its limits, the closed port, the end of the time for requests and the end of the stop, with open connections, unanswered requests and tasks; one line for each unfinished request, 200 at most; zinnia_stop_unfinished_total. Both kinds of entry VM use it. Ports besides that of callers say what they leave. The times of a stop are as before.

tests/path/lines.rs: a stop with an idle connection and a request of 2 s logs connections=2 requests=1 tasks=0, then the id of the request.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,7 +11,6 @@
 
 use async_std::task;
 use jsonrpsee::RpcModule;
-use log::info;
 use log::warn;
 
 use crate::claims::FleetClaims;
@@ -42,6 +41,7 @@
 use crate::rpc;
 use crate::secret::Secret;
 use crate::settings::EntrySettings;
+use crate::stop::StopLog;
 use crate::timer::Timer;
 use crate::upstreams::Upstreams;
 
@@ -195,22 +195,24 @@
     /// Leaves the directory, serves on for the address time to live, finishes what runs and ends.
     pub async fn stop(&self) {
         event::record(Kind::Stopping, About::default());
+        let log = StopLog::begin(&self.caller, &self.proxy, self.ttl, self.limit);
         self.members.leave();
         self.caller.drain();
         task::sleep(self.ttl).await;
-        let open = self.caller.stop(self.limit).await;
-        let running = self.proxy.stop(self.limit).await;
-        if open + running > 0 {
-            warn!(
-                "{open} connections and {running} requests are cut after {:?}",
-                self.limit
-            );
+        self.caller.close();
+        log.port_closed();
+        self.caller.stop(self.limit).await;
+        self.proxy.stop(self.limit).await;
+        log.finished();
+        let open = self.peer.stop(STOP_LIMIT).await;
+        if open > 0 {
+            let requests = self.peer.requests();
+            warn!("peer port closed with work left: connections={open} requests={requests}");
         }
-        self.peer.stop(STOP_LIMIT).await;
         self.jobs.stop().await;
         self.kernel.stop().await;
         event::record(Kind::Stopped, About::default());
-        info!("stopped");
+        log.stopped();
     }
 }
 
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -10,7 +10,6 @@
 
 use async_std::task;
 use log::info;
-use log::warn;
 use tide::http::Request;
 use tide::http::Response;
 use tide::http::mime;
@@ -41,6 +40,7 @@
 use crate::replica::ReplicaSettings;
 use crate::replication::Founding;
 use crate::replication::Replication;
+use crate::stop::StopLog;
 use crate::timer::Timer;
 
 /// Time between heartbeats of the leader; a small part of the 2 s in which a change must be in force.
@@ -180,21 +180,20 @@
 
     /// Leaves the directory, serves on for a while, finishes what runs and ends.
     pub async fn stop(&self) {
-        info!("stopping: requests={}", self.proxy.running());
+        let log = StopLog::begin(&self.caller, &self.proxy, self.linger, self.finish);
         self.uplink.set_ready(false);
         self.caller.drain();
         task::sleep(self.linger).await;
         let end = Instant::now() + self.finish;
-        let open = self.caller.stop(self.finish).await;
-        let running = self
-            .proxy
+        self.caller.close();
+        log.port_closed();
+        self.caller.stop(self.finish).await;
+        self.proxy
             .stop(end.saturating_duration_since(Instant::now()))
             .await;
-        if open + running > 0 {
-            warn!("stopped with work left: connections={open} requests={running}");
-        }
+        log.finished();
         self.kernel.stop().await;
-        info!("stopped");
+        log.stopped();
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod secret;
 pub mod settings;
 pub mod stage;
+pub mod stop;
 pub mod timeline;
 pub mod timer;
 pub mod upstreams;
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -205,6 +205,11 @@
         }
         self.running()
     }
+
+    /// Counts what was unfinished at the end of a stop.
+    pub(crate) fn count_unfinished(&self, requests: usize, tasks: usize) {
+        self.shared.meter.count_unfinished(requests, tasks);
+    }
 }
 
 impl<S: Stages> Handler for Proxy<S> {
--- a/src/proxy/meter.rs
+++ b/src/proxy/meter.rs
@@ -24,6 +24,7 @@
     requests: IntCounterVec,
     added: Histogram,
     unwritten: IntCounterVec,
+    unfinished: IntCounterVec,
 }
 
 impl Meter {
@@ -44,13 +45,20 @@
             "Requests that were read and whose answer was not written to its end, by reason",
         );
         let unwritten = IntCounterVec::new(options, &["reason"]).map_err(failed)?;
+        let options = Opts::new(
+            "zinnia_stop_unfinished_total",
+            "Unanswered requests and tasks of requests that were running when a stop ended",
+        );
+        let unfinished = IntCounterVec::new(options, &["kind"]).map_err(failed)?;
         registry.register(Box::new(requests.clone())).map_err(failed)?;
         registry.register(Box::new(added.clone())).map_err(failed)?;
         registry.register(Box::new(unwritten.clone())).map_err(failed)?;
+        registry.register(Box::new(unfinished.clone())).map_err(failed)?;
         Ok(Self {
             requests,
             added,
             unwritten,
+            unfinished,
         })
     }
 
@@ -68,6 +76,12 @@
         self.requests.with_label_values(&[name, run]).inc();
     }
 
+    pub(crate) fn count_unfinished(&self, requests: usize, tasks: usize) {
+        for (kind, count) in [("request", requests), ("task", tasks)] {
+            self.unfinished.with_label_values(&[kind]).inc_by(count as u64);
+        }
+    }
+
     pub(crate) fn count_unwritten(&self, reason: Unwritten) {
         let name: &'static str = reason.into();
         self.unwritten.with_label_values(&[name]).inc();
--- a/tests/path/lines.rs
+++ b/tests/path/lines.rs
@@ -1,4 +1,4 @@
-//! Log lines and counters of answers that were not written.
+//! Log lines and counters of answers that were not written and of stops.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,6 +17,7 @@
 use tide::http::Request;
 use tide::http::Response;
 use zinnialoom::http;
+use zinnialoom::stop::StopLog;
 
 use crate::fakes::Entry;
 use crate::fakes::any;
@@ -216,3 +217,34 @@
     line("body not read in time: id=lines-part").await;
     assert!(lines("body not read in time: id=lines-body").is_empty());
 }
+
+/// Guards against a stop whose lines and counters do not tell what was open at each step and which
+/// requests it left unfinished.
+#[async_std::test]
+async fn a_stop_logs_its_steps_and_what_it_leaves() {
+    capture();
+    let standin = standin().await;
+    let entry = Entry::start(&[standin.address()]).await;
+    let _idle = TcpStream::connect(entry.running.address()).await.unwrap();
+    let _busy = ask(&entry, "/forecast?wait=2000", "lines-stop").await;
+    task::sleep(Duration::from_millis(50)).await;
+    let (linger, finish) = (Duration::from_millis(7), Duration::from_millis(100));
+    let log = StopLog::begin(&entry.running, &entry.proxy, linger, finish);
+    let found = line("stopping: linger_ms=7 finish_ms=100").await;
+    assert!(found.ends_with("connections=2 requests=1 tasks=0"), "{found}");
+    entry.running.close();
+    log.port_closed();
+    assert!(line("caller port closed: ms=").await.contains(" requests=1 "));
+    assert_eq!(entry.running.stop(finish).await, 1);
+    log.finished();
+    line("request unfinished: id=lines-stop").await;
+    let found = line("stopped with work left: ms=").await;
+    assert!(found.ends_with("connections=1 requests=1 tasks=0"), "{found}");
+    log.stopped();
+    line("stopped: ms=").await;
+    let text = metrics(&entry);
+    assert!(
+        text.contains("zinnia_stop_unfinished_total{kind=\"request\"} 1"),
+        "{text}"
+    );
+}
