Give the tests of log lines a program of their own

Their logger makes every request of all tests in the program write lines under one lock, which kept the executor from running for so long that connections were not made within their 150 ms.

--- a/tests/path/lines.rs
+++ b/tests/lines.rs
@@ -1,4 +1,6 @@
 //! Log lines and counters of answers that were not written and of stops.
+//!
+//! A test program of its own: the logger that it installs makes each request of every test in it write lines.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -19,6 +21,16 @@
 use zinnialoom::http;
 use zinnialoom::stop::StopLog;
 
+#[allow(dead_code)]
+#[path = "path/fakes.rs"]
+mod fakes;
+#[allow(dead_code)]
+#[path = "path/serve.rs"]
+mod serve;
+#[allow(dead_code)]
+#[path = "../examples/standin/server.rs"]
+mod server;
+
 use crate::fakes::Entry;
 use crate::fakes::any;
 use crate::fakes::limits;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -8,8 +8,6 @@
 mod heads;
 #[path = "path/keys.rs"]
 mod keys;
-#[path = "path/lines.rs"]
-mod lines;
 #[path = "path/once.rs"]
 mod once;
 #[path = "path/overdue.rs"]
