Bound interim answers by the limit on the head of an answer

Seen: an upstream that sends interim answers (103) without pause was read for 6 s although the deadline of the request was 600 ms; 42 MB were read, and a repeatable request got 502 instead of going to another upstream. Cause: each interim answer was consumed, so that the limit of 64 KiB was never reached, and a timeout ends only reads that wait. Change: interim answers count towards the 64 KiB. Tests: tests/endless.rs, with a stand-in whose bytes do not end; a_head_without_end_is_refused and a_head_without_end_is_retried_elsewhere failed before and pass now. The trickled head, chunk extensions, trailers and the overload answer held already and stay as guards.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -24,7 +24,8 @@
 use crate::frame::Framing;
 use crate::stage::KeptAnswer;
 
-/// Largest head of an upstream's answer, in bytes.
+/// Largest head of an upstream's answer, in bytes, together with the interim answers before it; four times
+/// what a caller may send.
 const HEAD_BYTES: usize = 64 << 10;
 /// Headers of an upstream's answer at most.
 const HEADERS: usize = 200;
@@ -148,20 +149,29 @@
     }
 }
 
-/// Reads the head of an answer; interim answers are skipped.
+/// Reads the head of an answer; interim answers are skipped, but count towards its size. Without that
+/// limit an upstream that sends them without pause is read for ever: a timeout ends only reads that wait.
 ///
 /// # Errors
 /// `UnexpectedEof` if the connection ended, `InvalidData` if the head is not valid.
 pub(crate) async fn read_head(conn: &mut Buffered, method: Method) -> io::Result<Reply> {
+    let mut interim = 0;
     loop {
-        if let Some((reply, used)) = parse(conn.data(), method)? {
-            conn.consume(used);
-            if !reply.status.is_informational() {
-                return Ok(reply);
+        let head = match parse(conn.data(), method)? {
+            Some((reply, used)) => {
+                conn.consume(used);
+                if !reply.status.is_informational() {
+                    return Ok(reply);
+                }
+                interim += used;
+                if interim < HEAD_BYTES {
+                    continue;
+                }
+                interim
             }
-            continue;
-        }
-        if conn.data().len() >= HEAD_BYTES {
+            None => interim + conn.data().len(),
+        };
+        if head >= HEAD_BYTES {
             return Err(invalid("the head of the answer is too large"));
         }
         if poll_fn(|cx| conn.poll_fill(cx)).await? == 0 {
--- /dev/null
+++ b/tests/endless.rs
@@ -0,0 +1,220 @@
+//! Upstreams whose heads and bodies do not end while their connection is open.
+//!
+//! A test binary of its own, and one flood at a time, because floods take the processor from other tests.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future;
+use async_std::io::ReadExt;
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
+use async_std::sync::Mutex;
+use async_std::task;
+use zinnialoom::code::Code;
+
+use crate::fakes::Entry;
+use crate::fakes::header;
+use crate::fakes::request;
+use crate::fakes::status;
+use crate::fakes::verdict;
+use crate::script::Flowed;
+use crate::script::Line;
+use crate::script::OK;
+use crate::script::Script;
+use crate::script::Step;
+use crate::script::Step::Answer;
+use crate::script::Step::Flow;
+use crate::script::Step::Silent;
+
+#[allow(dead_code)]
+#[path = "path/fakes.rs"]
+mod fakes;
+#[allow(dead_code)]
+#[path = "path/script.rs"]
+mod script;
+
+/// Held by the test whose upstreams write without pauses.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// Deadline of the requests here.
+const LIMIT: Duration = Duration::from_millis(600);
+/// How much later than its deadline a request may end on a busy machine.
+const SLACK: Duration = Duration::from_secs(1);
+/// Bytes that an upstream can get rid of when 64 KiB of them are read: the rest fills the buffers of the
+/// kernel, which have up to 4 MiB for writing and 6 MiB for reading.
+const BUFFERS: usize = 12 << 20;
+const HEADERS: &str = "x-request-timeout-ms: 600\r\n";
+const POST: &str = "x-request-timeout-ms: 600\r\ncontent-length: 0\r\n";
+
+const SUCCESS: &str = "HTTP/1.1 200 OK\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const LENGTH: &str = "HTTP/1.1 200 OK\r\ncontent-length: 18446744073709551615\r\n\r\n";
+const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\n\r\n";
+const CHUNK: &str = "10\r\n0123456789abcdef\r\n";
+const TEXT: &str = "0123456789abcdef";
+
+/// Heads that never end: what comes first and what follows it again and again.
+const HEADS: [(&str, &str); 4] = [
+    (SUCCESS, "x-filler: 0123456789abcdef\r\n"),
+    ("HTTP/1.1 200 OK\r\nx-filler: ", "a"),
+    ("", "\u{1}"),
+    ("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+];
+
+/// Bodies that never end and whose bytes are handed on.
+const BODIES: [(&str, &str); 3] = [(UNTIL_CLOSE, TEXT), (CHUNKED, CHUNK), (LENGTH, TEXT)];
+
+async fn script(steps: Vec<Step>) -> Script {
+    let line: Line = Box::leak(steps.into_boxed_slice());
+    Script::start(Box::leak(Box::new([line]))).await
+}
+
+async fn flowing(first: &'static str, part: &'static str, pause: u64) -> Script {
+    script(vec![Flow(first, part, pause)]).await
+}
+
+/// Waits until the only flow of a script has ended.
+async fn flowed(script: &Script) -> Flowed {
+    loop {
+        if let Some(flowed) = script.flows.lock().unwrap().first() {
+            return flowed.clone();
+        }
+        task::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn headers(method: &str) -> &'static str {
+    match method {
+        "POST" => POST,
+        _ => HEADERS,
+    }
+}
+
+/// Whether an answer has the normal end of its framing.
+fn is_whole(answer: &[u8]) -> bool {
+    let end = answer.windows(4).position(|w| w == b"\r\n\r\n").unwrap();
+    let head = String::from_utf8_lossy(&answer[..end + 4]);
+    match header(&head, "content-length") {
+        Some(length) => length.parse() == Ok(answer.len() - end - 4),
+        None => answer.ends_with(b"\r\n0\r\n\r\n"),
+    }
+}
+
+/// Sends a request and reads until the proxy closes the connection.
+async fn ask(entry: &Entry, method: &str) -> Vec<u8> {
+    let mut stream = TcpStream::connect(entry.running.address()).await.unwrap();
+    let ask = request(
+        method,
+        "/forecast",
+        &format!("{}connection: close\r\n", headers(method)),
+    );
+    stream.write_all(ask.as_bytes()).await.unwrap();
+    read(&mut stream).await
+}
+
+async fn read(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let read = stream.read_to_end(&mut bytes);
+    let end = future::timeout(Duration::from_secs(8), read).await;
+    let _ = end.expect("the answer does not end");
+    bytes
+}
+
+fn text(answer: &[u8]) -> String {
+    String::from_utf8_lossy(&answer[..answer.len().min(400)]).into_owned()
+}
+
+async fn assert_closed(script: &Script, until: Duration) -> Flowed {
+    let flowed = flowed(script).await;
+    assert!(flowed.closed && flowed.time < until, "{flowed:?}");
+    flowed
+}
+
+/// Guards against a head without end that is held in memory, or read until the deadline.
+#[async_std::test]
+async fn a_head_without_end_is_refused() {
+    let _turn = TURN.lock().await;
+    for (first, part) in HEADS {
+        for (method, code) in [("GET", Code::UpstreamFailed), ("POST", Code::OutcomeUnknown)] {
+            let script = flowing(first, part, 0).await;
+            let entry = Entry::start(&[script.address]).await;
+            let answer = text(&ask(&entry, method).await);
+            assert_eq!(
+                verdict(&answer),
+                (502, code.number(), "unknown".into()),
+                "{part:?}: {answer}"
+            );
+            let flowed = assert_closed(&script, LIMIT + SLACK).await;
+            assert!(flowed.bytes < BUFFERS, "{part:?}: {flowed:?}");
+            assert_eq!(script.connections(), 1);
+        }
+    }
+}
+
+/// Guards against an idempotent request that fails because one upstream sends a head without end, and
+/// against the retry of another one.
+#[async_std::test]
+async fn a_head_without_end_is_retried_elsewhere() {
+    let _turn = TURN.lock().await;
+    for (first, part) in HEADS {
+        let script = flowing(first, part, 0).await;
+        let spare = Script::start(&[&[Answer(OK)]]).await;
+        let entry = Entry::start(&[script.address, spare.address]).await;
+        assert_eq!(status(&text(&ask(&entry, "POST").await)), 502, "{part:?}");
+        assert_eq!(spare.connections(), 0);
+        assert_eq!(status(&text(&ask(&entry, "GET").await)), 200, "{part:?}");
+    }
+}
+
+/// Guards against a head that comes byte by byte and holds a request longer than its deadline.
+#[async_std::test]
+async fn a_trickled_head_ends_at_the_deadline() {
+    for (first, part) in HEADS {
+        for method in ["GET", "POST"] {
+            let script = flowing(first, part, 3).await;
+            let entry = Entry::start(&[script.address]).await;
+            let start = Instant::now();
+            let answer = text(&ask(&entry, method).await);
+            assert!(start.elapsed() < LIMIT + SLACK, "{part:?}: {:?}", start.elapsed());
+            assert_eq!(verdict(&answer).2, "unknown", "{part:?}: {answer}");
+            assert_closed(&script, LIMIT + SLACK).await;
+        }
+    }
+}
+
+/// Guards against chunk extensions and trailers without end that are held in memory.
+#[async_std::test]
+async fn chunk_extensions_and_trailers_without_end_are_refused() {
+    let _turn = TURN.lock().await;
+    const EXTENSION: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;";
+    const TRAILERS: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    for (first, part) in [(EXTENSION, "a"), (TRAILERS, "x-filler: a\r\n"), (TRAILERS, "a")] {
+        for (pause, method) in [(0, "GET"), (0, "POST"), (3, "GET"), (3, "POST")] {
+            let script = flowing(first, part, pause).await;
+            let entry = Entry::start(&[script.address]).await;
+            let answer = text(&ask(&entry, method).await);
+            assert_eq!(verdict(&answer).2, "unknown", "{part:?}: {answer}");
+            let flowed = assert_closed(&script, LIMIT + SLACK).await;
+            assert!(flowed.bytes < BUFFERS, "{part:?}: {flowed:?}");
+        }
+    }
+}
+
+/// Guards against an overload answer without end that delays the request, and is reused.
+#[async_std::test]
+async fn an_overload_answer_without_end_is_left() {
+    let _turn = TURN.lock().await;
+    const SHED: &str = "HTTP/1.1 503 -\r\nx-not-run: 1\r\n\r\n";
+    for pause in [0, 3] {
+        for method in ["GET", "POST"] {
+            let script = flowing(SHED, TEXT, pause).await;
+            let spare = Script::start(&[&[Answer(OK)]]).await;
+            let entry = Entry::start(&[script.address, spare.address]).await;
+            let answer = text(&ask(&entry, method).await);
+            assert_eq!(status(&answer), 200, "{answer}");
+            assert_closed(&script, LIMIT).await;
+        }
+    }
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -12,6 +12,7 @@
 mod once;
 #[path = "path/queue.rs"]
 mod queue;
+#[allow(dead_code, reason = "flows are used by tests/endless.rs")]
 #[path = "path/script.rs"]
 mod script;
 #[path = "path/serve.rs"]
--- a/tests/path/script.rs
+++ b/tests/path/script.rs
@@ -6,7 +6,10 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
+use async_std::future;
 use async_std::io::ReadExt;
 use async_std::io::WriteExt;
 use async_std::net::TcpListener;
@@ -15,6 +18,11 @@
 
 use crate::fakes::any;
 
+/// When a flow ends although its connection is open; longer than any deadline in these tests.
+const FLOW_LIMIT: Duration = Duration::from_secs(6);
+/// Bytes that a flow without pauses writes at once.
+const FLOW_BYTES: usize = 16 << 10;
+
 pub const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 #[derive(Debug, Clone, Copy)]
@@ -29,6 +37,20 @@
     Write(&'static str),
     /// Waits this many milliseconds.
     Wait(u64),
+    /// Reads a request, writes the first text, and then the second one again and again with pauses of
+    /// this many milliseconds, until the other side closes the connection.
+    Flow(&'static str, &'static str, u64),
+}
+
+/// How a flow ended.
+#[derive(Debug, Clone)]
+pub struct Flowed {
+    /// Bytes that the kernel took.
+    pub bytes: usize,
+    /// From the end of the request.
+    pub time: Duration,
+    /// False if the flow had to end by itself.
+    pub closed: bool,
 }
 
 pub type Line = &'static [Step];
@@ -41,6 +63,8 @@
     pub requests: Arc<Mutex<Vec<String>>>,
     /// Connections that the other side closed while they were silent.
     pub abandoned: Arc<AtomicUsize>,
+    /// Flows that have ended.
+    pub flows: Arc<Mutex<Vec<Flowed>>>,
 }
 
 impl Script {
@@ -51,15 +75,23 @@
             connections: Arc::default(),
             requests: Arc::default(),
             abandoned: Arc::default(),
+            flows: Arc::default(),
         };
         let connections = script.connections.clone();
         let requests = script.requests.clone();
         let abandoned = script.abandoned.clone();
+        let flows = script.flows.clone();
         task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let number = connections.fetch_add(1, Ordering::SeqCst);
                 let line = lines[number.min(lines.len() - 1)];
-                task::spawn(play(stream, line, requests.clone(), abandoned.clone()));
+                task::spawn(play(
+                    stream,
+                    line,
+                    requests.clone(),
+                    abandoned.clone(),
+                    flows.clone(),
+                ));
             }
         });
         script
@@ -79,6 +111,7 @@
     line: Line,
     requests: Arc<Mutex<Vec<String>>>,
     abandoned: Arc<AtomicUsize>,
+    flows: Arc<Mutex<Vec<Flowed>>>,
 ) {
     for step in line {
         match step {
@@ -97,12 +130,40 @@
             Step::Write(text) => {
                 let _ = stream.write_all(text.as_bytes()).await;
             }
-            Step::Wait(millis) => task::sleep(std::time::Duration::from_millis(*millis)).await,
+            Step::Wait(millis) => task::sleep(Duration::from_millis(*millis)).await,
+            Step::Flow(first, part, pause) => {
+                read_request(&mut stream, &requests).await;
+                let flowed = flow(&mut stream, first, part, *pause).await;
+                flows.lock().unwrap().push(flowed);
+            }
         }
     }
     let _ = stream.shutdown(Shutdown::Both);
 }
 
+async fn flow(stream: &mut TcpStream, first: &str, part: &str, pause: u64) -> Flowed {
+    let start = Instant::now();
+    let mut bytes = 0;
+    let repeat = match pause {
+        0 => FLOW_BYTES / part.len() + 1,
+        _ => 1,
+    };
+    let part = part.repeat(repeat);
+    let write = async {
+        stream.write_all(first.as_bytes()).await?;
+        loop {
+            task::sleep(Duration::from_millis(pause)).await;
+            bytes += stream.write(&part.as_bytes()[bytes % part.len()..]).await?;
+        }
+    };
+    let end: Result<std::io::Result<()>, _> = future::timeout(FLOW_LIMIT, write).await;
+    Flowed {
+        bytes,
+        time: start.elapsed(),
+        closed: end.is_ok(),
+    }
+}
+
 async fn read_request(stream: &mut TcpStream, requests: &Mutex<Vec<String>>) {
     let mut text = String::new();
     let mut byte = [0];
