End an answer at the deadline of its request, and not before

Seen: a long answer whose upstream went on was never ended (the stand-in gave up after 6 s, the deadline was 600 ms): not for a caller that reads, not for one that does not, and not for an order whose caller had left, which held a connection and a slot and held up a stop. An answer whose upstream was silent for 10 s was cut before its deadline. Cause: the task that reads a long answer knew only a limit on silence. Change: the deadline bounds the reading and the handing on; an answer of known length has 200 ms more. The connection of a cut answer is closed before its claim is finished. A caller that took nothing for 100 ms is the reason for the cut, not the upstream. Each attempt without a whole answer has a line `answer not whole` with the reason. Tests: a_body_without_end_is_cut_at_the_deadline, a_trickled_body_ends_at_the_deadline, an_order_without_a_caller_ends_at_its_deadline, a_slow_caller_does_not_prolong_a_body_without_end and a_silent_answer_is_awaited_until_the_deadline failed before and pass now; an_answer_of_known_length_may_end_a_little_late is a guard.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -7,6 +7,7 @@
 
 use async_std::future;
 use async_std::io::ReadExt;
+use log::info;
 use tide::http::Body;
 use tide::http::Method;
 use tide::http::Response;
@@ -304,5 +305,7 @@
     }
 }
 
-/// The longest pause inside the body of an upstream's answer.
-pub(crate) const STALL_LIMIT: Duration = Duration::from_secs(10);
+/// Logs why an attempt has no whole answer.
+pub(crate) fn log_cut(id: &str, upstream: &str, reason: &str) {
+    info!("answer not whole: id={id} upstream={upstream} reason=\"{reason}\"");
+}
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -161,7 +161,12 @@
         fail::fail_point!("proxy-connected");
         ready()?;
         match try_on(flight, &job, &pick, conn).await? {
-            Try::Done(outcome) => return Ok(outcome),
+            Try::Done(outcome) => {
+                if let Outcome::Unknown(_, reason) = &outcome {
+                    answer::log_cut(&job.id, &pick.upstream, reason);
+                }
+                return Ok(outcome);
+            }
             Try::Stale if !shared.parts.chooser.reconnects() => {
                 let detail = "a reused connection died or was silent";
                 return Ok(Outcome::Unknown(Attempt::Stale, detail.into()));
@@ -291,8 +296,12 @@
 async fn shed<S: Stages>(flight: &InFlight<S>, reply: &Reply, mut frame: Frame, conn: Connection) {
     let mut body = Vec::new();
     let read = answer::read_short(&mut frame, &mut body);
-    if let Ok(Ok(_)) = future::timeout(SHED_LIMIT, read).await {
-        keep(&flight.shared, reply, &frame, conn);
+    match future::timeout(SHED_LIMIT, read).await {
+        Ok(Ok(Some(()))) => keep(&flight.shared, reply, &frame, conn),
+        _ => {
+            let upstream = flight.upstream().unwrap_or_default();
+            answer::log_cut(&flight.job.id, &upstream, "an overload answer without an end");
+        }
     }
 }
 
--- a/src/proxy/stream.rs
+++ b/src/proxy/stream.rs
@@ -3,8 +3,11 @@
 //! The end of an answer is a message of its own, so that an answer that stops for any reason,
 //! also a panic of the task, is an error for the caller's connection and never a normal end.
 
+use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use async_std::channel;
 use async_std::channel::Receiver;
@@ -13,6 +16,8 @@
 use async_std::io::ReadExt;
 use async_std::task;
 use futures::TryStreamExt;
+use futures::future::Either;
+use futures::future::select;
 use futures::stream;
 use tide::http::Body;
 use tide::http::Response;
@@ -20,7 +25,6 @@
 use crate::answer;
 use crate::answer::KEEP_BYTES;
 use crate::answer::Reply;
-use crate::answer::STALL_LIMIT;
 use crate::frame::Frame;
 use crate::frame::Framing;
 use crate::pool::Connection;
@@ -39,11 +43,39 @@
 const PARTS: usize = 2;
 const PART_BYTES: usize = 16 << 10;
 
+/// How long an answer of known length may go on after the deadline of its request: a caller is served by
+/// one that is almost there, and counts a quarter of a second as late. 50 ms of it are left for the way.
+const LATE_LIMIT: Duration = Duration::from_millis(200);
+/// A caller that takes nothing for this long before the deadline is the reason why its answer is cut; a
+/// caller that reads on takes a part within a few milliseconds.
+const SLOW_CALLER: Duration = Duration::from_millis(100);
+
 enum Part {
     Bytes(Vec<u8>),
     End,
 }
 
+/// Why an answer was not read to its end.
+struct Cut {
+    attempt: Attempt,
+    reason: String,
+}
+
+impl Cut {
+    fn new(attempt: Attempt, reason: &str) -> Self {
+        let reason = reason.into();
+        Self { attempt, reason }
+    }
+
+    fn left() -> Self {
+        Self::new(Attempt::Cancelled, "the caller left inside the answer")
+    }
+
+    fn late() -> Self {
+        Self::new(Attempt::Late, "the answer had not ended at the deadline")
+    }
+}
+
 /// An answer that is being read.
 pub(crate) struct Open<S: Stages> {
     pub(crate) job: Arc<Job>,
@@ -64,18 +96,37 @@
         _ => None,
     };
     let (sender, receiver) = channel::bounded(PARTS);
-    answer::set_body(&mut response, body(receiver, length));
+    let (alive, left) = channel::bounded(1);
+    let parts = Parts {
+        receiver,
+        _alive: alive,
+    };
+    answer::set_body(&mut response, body(parts, length));
+    let caller = Caller { sender, left };
     let busy = Busy::new(shared);
     task::spawn(async move {
-        pump(open, sender, &busy).await;
+        pump(open, caller, &busy).await;
     });
     response
 }
 
-fn body(receiver: Receiver<Part>, length: Option<usize>) -> Body {
-    let parts = stream::try_unfold(receiver, |receiver| async {
-        match receiver.recv().await {
-            Ok(Part::Bytes(bytes)) => Ok(Some((bytes, receiver))),
+/// What the caller's connection holds of an answer.
+struct Parts {
+    receiver: Receiver<Part>,
+    _alive: Sender<Infallible>,
+}
+
+/// The way to the caller's connection.
+struct Caller {
+    sender: Sender<Part>,
+    /// Ends when the caller's connection drops the answer.
+    left: Receiver<Infallible>,
+}
+
+fn body(parts: Parts, length: Option<usize>) -> Body {
+    let parts = stream::try_unfold(parts, |parts| async {
+        match parts.receiver.recv().await {
+            Ok(Part::Bytes(bytes)) => Ok(Some((bytes, parts))),
             Ok(Part::End) => Ok(None),
             Err(_) => Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the answer was cut")),
         }
@@ -83,57 +134,100 @@
     Body::from_reader(Box::pin(parts).into_async_read(), length)
 }
 
-async fn pump<S: Stages>(mut open: Open<S>, sender: Sender<Part>, busy: &Busy<S>) {
+async fn pump<S: Stages>(mut open: Open<S>, caller: Caller, busy: &Busy<S>) {
     let mut kept = Some(Vec::new());
-    let attempt = read(&mut open, &sender, &mut kept).await;
+    let read = read(&mut open, &caller, &mut kept).await;
     let shared = &busy.0;
-    let whole = matches!(attempt, Attempt::Answered | Attempt::Failed);
-    if whole {
-        keep(shared, &open.reply, &open.frame, open.conn);
+    let whole = read.is_ok();
+    let attempt = match read {
+        Ok(()) if open.reply.status.is_server_error() => Attempt::Failed,
+        Ok(()) => Attempt::Answered,
+        Err(cut) => {
+            let upstream = open.flight.upstream().unwrap_or_default();
+            answer::log_cut(&open.job.id, &upstream, &cut.reason);
+            cut.attempt
+        }
+    };
+    // The connection of a cut answer is closed before the claim is finished, which may take long.
+    match whole {
+        true => keep(shared, &open.reply, &open.frame, open.conn),
+        false => drop(open.conn),
     }
+    drop(open.frame);
     open.flight.end(attempt);
     let ending = Ending::Answered(open.reply.kept(kept.filter(|_| whole)));
     let finish = shared.finish_claim(open.ticket, ending);
     let end = async {
         match whole {
-            true => sender.send(Part::End).await.is_ok(),
+            true => caller.sender.send(Part::End).await.is_ok(),
             // The caller's connection takes a channel that closes without an end for a cut.
-            false => sender.close(),
+            false => caller.sender.close(),
         }
     };
     futures::join!(finish, end);
 }
 
-async fn read<S: Stages>(open: &mut Open<S>, sender: &Sender<Part>, kept: &mut Option<Vec<u8>>) -> Attempt {
-    let head = std::mem::take(&mut open.head);
-    if !head.is_empty() {
-        if open.ticket.is_some() {
-            keep_part(kept, &head);
-        }
-        if sender.send(Part::Bytes(head)).await.is_err() && open.job.idempotent {
-            return Attempt::Cancelled;
-        }
-    }
-    let mut part = vec![0; PART_BYTES];
+/// Reads an answer to its end, or until its time is over.
+async fn read<S: Stages>(open: &mut Open<S>, caller: &Caller, kept: &mut Option<Vec<u8>>) -> Result<(), Cut> {
+    let until = match open.reply.framing {
+        Framing::Length(_) => open.job.deadline + LATE_LIMIT,
+        _ => open.job.deadline,
+    };
+    let mut part = std::mem::take(&mut open.head);
+    let mut buffer = vec![0; PART_BYTES];
     loop {
-        let count = match future::timeout(STALL_LIMIT, open.frame.read(&mut part)).await {
-            Err(_) => return Attempt::Late,
-            Ok(Err(_)) => return Attempt::Cut,
-            Ok(Ok(0)) if open.reply.status.is_server_error() => return Attempt::Failed,
-            Ok(Ok(0)) => return Attempt::Answered,
-            Ok(Ok(count)) => count,
-        };
-        if open.ticket.is_some() {
-            keep_part(kept, &part[..count]);
+        if !part.is_empty() {
+            if open.ticket.is_some() {
+                keep_part(kept, &part);
+            }
+            send(&caller.sender, part, until, open.job.idempotent).await?;
         }
-        let bytes = Part::Bytes(part[..count].to_vec());
-        // A non-idempotent request is read to its end although its caller has left.
-        if sender.send(bytes).await.is_err() && open.job.idempotent {
-            return Attempt::Cancelled;
+        let left = left(until);
+        // A timeout ends only reads that wait, and these may always find bytes.
+        if left.is_zero() {
+            return Err(Cut::late());
         }
+        let read = future::timeout(left, open.frame.read(&mut buffer));
+        let gone = gone(caller, open.job.idempotent);
+        let read = match select(Box::pin(read), Box::pin(gone)).await {
+            Either::Left((read, _)) => read,
+            Either::Right(_) => return Err(Cut::left()),
+        };
+        part = match read {
+            Err(_) => return Err(Cut::late()),
+            Ok(Err(e)) => return Err(Cut::new(Attempt::Cut, &e.to_string())),
+            Ok(Ok(0)) => return Ok(()),
+            Ok(Ok(count)) => buffer[..count].to_vec(),
+        };
     }
 }
 
+/// Waits until nobody needs the rest of the answer. A non-idempotent request is read to its end although
+/// its caller has left.
+async fn gone(caller: &Caller, idempotent: bool) {
+    if !idempotent || caller.left.recv().await.is_ok() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Hands bytes to the caller's connection.
+async fn send(sender: &Sender<Part>, part: Vec<u8>, until: Instant, idempotent: bool) -> Result<(), Cut> {
+    let start = Instant::now();
+    match future::timeout(left(until), sender.send(Part::Bytes(part))).await {
+        Ok(Err(_)) if idempotent => Err(Cut::left()),
+        Ok(_) => Ok(()),
+        Err(_) if start.elapsed() < SLOW_CALLER => Err(Cut::late()),
+        Err(_) => Err(Cut::new(
+            Attempt::Cancelled,
+            "the caller read slowly until the deadline",
+        )),
+    }
+}
+
+fn left(until: Instant) -> Duration {
+    until.saturating_duration_since(Instant::now())
+}
+
 fn keep_part(kept: &mut Option<Vec<u8>>, part: &[u8]) {
     let Some(bytes) = kept else { return };
     if bytes.len() + part.len() > KEEP_BYTES {
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -184,6 +184,57 @@
     }
 }
 
+/// Guards against a body without end that holds its caller and its upstream for ever.
+#[async_std::test]
+async fn a_body_without_end_is_cut_at_the_deadline() {
+    let _turn = TURN.lock().await;
+    for (first, part) in BODIES {
+        for method in ["GET", "POST"] {
+            let script = flowing(first, part, 0).await;
+            let entry = Entry::start(&[script.address]).await;
+            let start = Instant::now();
+            let answer = ask(&entry, method).await;
+            let time = start.elapsed();
+            assert_eq!(status(&text(&answer)), 200);
+            assert!(
+                !is_whole(&answer),
+                "{first:?} {method}: the answer looks complete"
+            );
+            assert!(time < LIMIT + SLACK, "{first:?} {method}: {time:?}");
+            assert_closed(&script, LIMIT + SLACK).await;
+            assert_eq!(format!("{:?}", entry.fakes.samples.lock().unwrap()), "[Late]");
+            assert_eq!(
+                script.connections(),
+                1,
+                "a delivered answer is not sent for again"
+            );
+        }
+    }
+}
+
+/// Guards against a body that comes byte by byte and holds a request longer than its deadline.
+#[async_std::test]
+async fn a_trickled_body_ends_at_the_deadline() {
+    for (first, part) in BODIES {
+        for method in ["GET", "POST"] {
+            let script = flowing(first, part, 3).await;
+            let entry = Entry::start(&[script.address]).await;
+            let start = Instant::now();
+            let answer = ask(&entry, method).await;
+            assert!(
+                start.elapsed() < LIMIT + SLACK,
+                "{first:?}: {:?}",
+                start.elapsed()
+            );
+            match status(&text(&answer)) {
+                200 => assert!(!is_whole(&answer), "{first:?} {method}"),
+                other => assert_eq!(other, 504, "{}", text(&answer)),
+            }
+            assert_closed(&script, LIMIT + SLACK).await;
+        }
+    }
+}
+
 /// Guards against chunk extensions and trailers without end that are held in memory.
 #[async_std::test]
 async fn chunk_extensions_and_trailers_without_end_are_refused() {
@@ -218,3 +269,112 @@
         }
     }
 }
+
+/// Guards against a request without a caller that holds a connection and a slot for ever, and holds up
+/// a stop.
+#[async_std::test]
+async fn an_order_without_a_caller_ends_at_its_deadline() {
+    let _turn = TURN.lock().await;
+    for (first, part) in BODIES {
+        for pause in [0, 3] {
+            let script = flowing(first, part, pause).await;
+            let entry = Entry::start(&[script.address]).await;
+            let mut stream = TcpStream::connect(entry.running.address()).await.unwrap();
+            let order = request("POST", "/order", &format!("idempotency-key: o1\r\n{POST}"));
+            stream.write_all(order.as_bytes()).await.unwrap();
+            task::sleep(LIMIT / 3).await;
+            drop(stream);
+            let start = Instant::now();
+            assert_eq!(entry.proxy.stop(Duration::from_secs(4)).await, 0, "{first:?}");
+            assert!(
+                start.elapsed() < LIMIT + SLACK,
+                "{first:?}: {:?}",
+                start.elapsed()
+            );
+            assert_closed(&script, LIMIT + SLACK).await;
+            assert_eq!(script.connections(), 1);
+            let claims = format!("{:?}", entry.fakes.claims.lock().unwrap());
+            assert!(!claims.contains("NotRun"), "{claims}");
+        }
+    }
+}
+
+/// Guards against a caller that reads slowly and keeps an answer without end going.
+#[async_std::test]
+async fn a_slow_caller_does_not_prolong_a_body_without_end() {
+    let _turn = TURN.lock().await;
+    let mut cases = Vec::new();
+    for (first, part) in BODIES {
+        for (method, is_slow) in [("GET", true), ("POST", true), ("GET", false), ("POST", false)] {
+            cases.push(leave_unread(first, part, method, is_slow));
+        }
+    }
+    futures::future::join_all(cases).await;
+}
+
+/// The caller reads slowly, or nothing until after the deadline.
+async fn leave_unread(first: &'static str, part: &'static str, method: &str, is_slow: bool) {
+    let script = flowing(first, part, 0).await;
+    let entry = Entry::start(&[script.address]).await;
+    let mut stream = TcpStream::connect(entry.running.address()).await.unwrap();
+    let ask = request(method, "/forecast", headers(method));
+    stream.write_all(ask.as_bytes()).await.unwrap();
+    let start = Instant::now();
+    let mut answer = Vec::new();
+    let mut bytes = [0; 512];
+    while is_slow && start.elapsed() < LIMIT + SLACK {
+        let count = stream.read(&mut bytes).await.unwrap_or(0);
+        answer.extend_from_slice(&bytes[..count]);
+        task::sleep(Duration::from_millis(20)).await;
+    }
+    assert_closed(&script, LIMIT + SLACK).await;
+    // The caller reads what is still on its way, at full speed.
+    answer.extend(read(&mut stream).await);
+    assert!(!is_whole(&answer), "{first:?} {method}");
+    let samples = format!("{:?}", entry.fakes.samples.lock().unwrap());
+    // Small chunks do not fill the buffers of the kernel until the deadline.
+    let is_full = !is_slow && first != CHUNKED;
+    assert!(
+        !is_full || samples == "[Cancelled]",
+        "the upstream is blamed: {samples}"
+    );
+}
+
+/// Guards against an answer that is cut because its upstream is silent for a while before the deadline.
+#[async_std::test]
+async fn a_silent_answer_is_awaited_until_the_deadline() {
+    const LONG: &str = "HTTP/1.1 200 OK\r\ncontent-length: 70000\r\n\r\n";
+    let rest: &'static str = Box::leak("a".repeat(70_000).into_boxed_str());
+    // An earlier limit on silence was 10 s.
+    let script = script(vec![Answer(LONG), Step::Wait(10_500), Step::Write(rest), Silent]).await;
+    let entry = Entry::start(&[script.address]).await;
+    let mut stream = TcpStream::connect(entry.running.address()).await.unwrap();
+    let ask = request(
+        "GET",
+        "/forecast",
+        "x-request-timeout-ms: 14000\r\nconnection: close\r\n",
+    );
+    stream.write_all(ask.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let end = future::timeout(Duration::from_secs(14), stream.read_to_end(&mut answer)).await;
+    end.expect("the answer does not end").unwrap();
+    assert!(is_whole(&answer), "{} bytes", answer.len());
+}
+
+/// Guards against an answer of known length that is cut at the deadline although its last bytes come.
+#[async_std::test]
+async fn an_answer_of_known_length_may_end_a_little_late() {
+    const LONG: &str = "HTTP/1.1 200 OK\r\ncontent-length: 70000\r\n\r\n";
+    let most: &'static str = Box::leak("a".repeat(69_990).into_boxed_str());
+    let late = LIMIT.as_millis() as u64 + 80;
+    let steps = vec![
+        Answer(LONG),
+        Step::Write(most),
+        Step::Wait(late),
+        Step::Write("0123456789"),
+    ];
+    let script = script(steps).await;
+    let entry = Entry::start(&[script.address]).await;
+    let answer = ask(&entry, "GET").await;
+    assert!(is_whole(&answer), "{} bytes", answer.len());
+}
