Send a request on when an error answer does not end

Seen: a repeatable request whose first upstream answered 500 with a body over 64 KiB was not sent to another upstream; its caller got the endless body. One whose body came slowly held the request until its deadline. Cause: only answers that were read to their end counted as worth a retry. Change: while another upstream may be tried, an error answer longer than 64 KiB or slower than 250 ms is a failure of its upstream. Tests: endless::an_error_answer_without_end_is_retried_or_cut failed before and passes now.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -37,6 +37,9 @@
 
 /// How long the body of an overload answer is awaited, so that its connection can be reused.
 const SHED_LIMIT: Duration = Duration::from_millis(50);
+/// How long the body of an error answer is awaited while another upstream may be tried. The body of a sound
+/// upstream comes with its head; a retry needs most of the time that callers wait, which is 1 s or more.
+const ERROR_LIMIT: Duration = Duration::from_millis(250);
 
 /// What an attempt led to; see section 5.3 of the design.
 pub(crate) enum Outcome {
@@ -269,13 +272,26 @@
     conn: Connection,
 ) -> Outcome {
     let is_long = matches!(reply.framing, Framing::Length(length) if length > KEEP_BYTES as u64);
-    if is_long {
+    // Such a body may have no end, and once the caller has its first bytes nothing can be sent again.
+    let is_spare = job.idempotent && job.has_more() && reply.status.is_server_error();
+    let limit = if is_spare {
+        job.left().min(ERROR_LIMIT)
+    } else {
+        job.left()
+    };
+    if is_long && !is_spare {
         let body = AnswerBody::Open(frame, conn, Vec::new());
         return Outcome::Answered(Answer { reply, body });
     }
     let mut body = Vec::new();
-    match future::timeout(job.left(), answer::read_short(&mut frame, &mut body)).await {
+    match future::timeout(limit, answer::read_short(&mut frame, &mut body)).await {
         Ok(Ok(Some(()))) => {}
+        Ok(Ok(None)) if is_spare => {
+            return Outcome::Unknown(Attempt::Failed, "a long error answer".into());
+        }
+        Err(_) if is_spare && !job.left().is_zero() => {
+            return Outcome::Unknown(Attempt::Failed, "a slow error answer".into());
+        }
         Ok(Ok(None)) => {
             let body = AnswerBody::Open(frame, conn, body);
             return Outcome::Answered(Answer { reply, body });
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -253,6 +253,30 @@
     }
 }
 
+/// Guards against an error answer without end that ends the retries of an idempotent request, and
+/// against one that holds another request for ever.
+#[async_std::test]
+async fn an_error_answer_without_end_is_retried_or_cut() {
+    let _turn = TURN.lock().await;
+    const ENDLESS: &str = "HTTP/1.1 500 -\r\n\r\n";
+    const LONG: &str = "HTTP/1.1 500 -\r\ncontent-length: 18446744073709551615\r\n\r\n";
+    let spare = Script::start(&[&[Answer(OK)]]).await;
+    for (first, pause) in [(ENDLESS, 0), (ENDLESS, 3), (LONG, 0), (LONG, 3)] {
+        let script = flowing(first, TEXT, pause).await;
+        let entry = Entry::start(&[script.address, spare.address]).await;
+        let answer = ask(&entry, "GET").await;
+        assert_eq!(status(&text(&answer)), 200, "{first:?}: {}", text(&answer));
+        assert_closed(&script, LIMIT).await;
+    }
+    let script = flowing(ENDLESS, TEXT, 0).await;
+    let entry = Entry::start(&[script.address, spare.address]).await;
+    let answer = ask(&entry, "POST").await;
+    assert_eq!(status(&text(&answer)), 500);
+    assert!(!is_whole(&answer));
+    assert_closed(&script, LIMIT + SLACK).await;
+    assert_eq!(spare.connections(), 4);
+}
+
 /// Guards against an overload answer without end that delays the request, and is reused.
 #[async_std::test]
 async fn an_overload_answer_without_end_is_left() {
