Notice a caller that leaves while the rest of its answer is awaited

Seen: the upstream of a caller that left inside an answer worked on until it sent something or the answer ended. Cause: the caller's connection was not watched once the head of the answer was written. Change: the write of an answer ends when the caller closes its side while the next part of the body is awaited; the task that reads the answer then closes the upstream's connection, unless the request must run once. Tests: endless::a_caller_that_leaves_inside_an_answer_closes_the_connection failed before and passes now.

--- a/src/http.rs
+++ b/src/http.rs
@@ -289,7 +289,7 @@
     }
     attach(&mut request, &frame, head.framing);
     request.set_peer_addr(Some(caller.address));
-    let mut response = respond(shared, request, caller, &frame).await;
+    let mut response = respond(shared, request, caller.clone(), &frame).await;
     let wants_close = response
         .header("connection")
         .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
@@ -298,10 +298,9 @@
     if close {
         response.insert_header("connection", "close");
     }
-    if write(&stream, response, method, shared.limits.write)
-        .await
-        .is_err()
-    {
+    let gone = caller.gone();
+    let write = write(&stream, response, method, shared.limits.write, gone);
+    if write.await.is_err() {
         return Next::Close;
     }
     match frame.take_conn() {
@@ -361,20 +360,28 @@
 async fn send_refusal(stream: &TcpStream, error: &Error, limit: Duration) -> io::Result<()> {
     let mut response = answer::refusal(error);
     response.insert_header("connection", "close");
-    write(stream, response, Method::Get, limit).await
+    write(stream, response, Method::Get, limit, std::future::pending()).await
 }
 
 /// Writes an answer; after an error the connection must be closed, so that the answer looks cut.
+///
+/// It ends with an error as well if `gone` does while the next part of the body is awaited: the upstream
+/// must not work on for a caller that has left.
 async fn write(
     mut stream: &TcpStream,
     response: Response,
     method: Method,
     limit: Duration,
+    gone: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let mut encoder = Encoder::new(response, method);
+    let mut gone = Box::pin(gone);
     let mut buffer = vec![0; WRITE_BYTES];
     loop {
-        let mut count = encoder.read(&mut buffer).await?;
+        let mut count = match select(encoder.read(&mut buffer), &mut gone).await {
+            Either::Left((read, _)) => read?,
+            Either::Right(_) => return Err(io::ErrorKind::ConnectionAborted.into()),
+        };
         if count == 0 {
             return Ok(());
         }
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -402,3 +402,24 @@
     let answer = ask(&entry, "GET").await;
     assert!(is_whole(&answer), "{} bytes", answer.len());
 }
+
+/// Guards against an upstream that works on for a caller that left inside the answer.
+#[async_std::test]
+async fn a_caller_that_leaves_inside_an_answer_closes_the_connection() {
+    const LONG: &str = "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n";
+    let most: &'static str = Box::leak("a".repeat(70_000).into_boxed_str());
+    let script = script(vec![Answer(LONG), Step::Write(most), Silent]).await;
+    let entry = Entry::start(&[script.address]).await;
+    let mut stream = TcpStream::connect(entry.running.address()).await.unwrap();
+    let ask = request("GET", "/forecast", "x-request-timeout-ms: 5000\r\n");
+    stream.write_all(ask.as_bytes()).await.unwrap();
+    task::sleep(Duration::from_millis(200)).await;
+    drop(stream);
+    task::sleep(SLACK).await;
+    assert_eq!(entry.proxy.running(), 0);
+    assert_eq!(script.abandoned.load(Ordering::SeqCst), 1);
+    assert_eq!(
+        format!("{:?}", entry.fakes.samples.lock().unwrap()),
+        "[Cancelled]"
+    );
+}
