Close idle connections on which bytes come or that were closed

Seen: an upstream that sends on after a complete answer kept its connection for 15 s; the stand-in still wrote after 6 s. No request got these bytes, because a connection is checked before it is reused. Tests: endless::bytes_after_an_answer_close_its_connection failed before and passes now.

--- a/src/pool.rs
+++ b/src/pool.rs
@@ -16,6 +16,8 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use derive_more::Display;
+use futures::FutureExt;
+use log::info;
 
 use crate::rpc::is_quiet;
 use crate::stage::Pick;
@@ -27,6 +29,7 @@
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// How long before the upstream's own limit an idle connection is given up.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
+/// How often idle connections are looked at.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
 /// Why there is no connection; nothing was sent.
@@ -110,7 +113,8 @@
 }
 
 impl Pool {
-    /// Starts a pool whose idle connections are closed after [`IDLE_LIMIT`].
+    /// Starts a pool whose idle connections are closed after [`IDLE_LIMIT`], or within [`SWEEP_PERIOD`] if
+    /// their upstream sends something or closes them: such bytes belong to no request and may have no end.
     pub(crate) fn spawn() -> Self {
         let pool = Self::default();
         let weak = Arc::downgrade(&pool.hosts);
@@ -118,7 +122,13 @@
             loop {
                 task::sleep(SWEEP_PERIOD).await;
                 let Some(hosts) = weak.upgrade() else { return };
-                drop(expired(&hosts, Instant::now()));
+                for idle in expired(&hosts, Instant::now()) {
+                    let conn = &idle.conn;
+                    if Instant::now() < idle.until && has_bytes(&conn.stream) {
+                        let address = conn.open.address;
+                        info!("connection closed: upstream={address} reason=\"bytes without a request\"");
+                    }
+                }
             }
         });
         pool
@@ -227,11 +237,21 @@
     })
 }
 
+/// Whether an idle connection can be read from, because bytes came or because it was closed.
+fn has_ended(stream: &TcpStream) -> bool {
+    stream.peek(&mut [0]).now_or_never().is_some()
+}
+
+fn has_bytes(stream: &TcpStream) -> bool {
+    matches!(stream.peek(&mut [0]).now_or_never(), Some(Ok(1..)))
+}
+
+/// Removes the idle connections that nobody may use any more.
 fn expired(hosts: &Hosts, now: Instant) -> Vec<Idle> {
     let mut old = Vec::new();
     for host in hosts.lock().unwrap().values_mut() {
         let all = std::mem::take(&mut host.idle);
-        let is_old = |idle: &Idle| now >= idle.until;
+        let is_old = |idle: &Idle| now >= idle.until || has_ended(&idle.conn.stream);
         let (gone, kept): (Vec<_>, Vec<_>) = all.into_iter().partition(is_old);
         host.idle = kept;
         old.extend(gone);
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -294,6 +294,42 @@
     }
 }
 
+/// Guards against bytes after the end of an answer that reach a caller, or that keep coming on a
+/// connection that nobody uses.
+#[async_std::test]
+async fn bytes_after_an_answer_close_its_connection() {
+    let _turn = TURN.lock().await;
+    const EMPTY: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+    const UNCHANGED: &str = "HTTP/1.1 304 Not Modified\r\n\r\n";
+    let mut cases = Vec::new();
+    for (method, first) in [
+        ("GET", OK),
+        ("POST", OK),
+        ("HEAD", UNTIL_CLOSE),
+        ("HEAD", LENGTH),
+        ("GET", EMPTY),
+        ("GET", UNCHANGED),
+    ] {
+        cases.push(leave_bytes(method, first, 0));
+        cases.push(leave_bytes(method, first, 20));
+    }
+    futures::future::join_all(cases).await;
+}
+
+async fn leave_bytes(method: &str, first: &'static str, pause: u64) {
+    // The sweep of idle connections runs each second.
+    let soon = Duration::from_secs(2);
+    let script = flowing(first, TEXT, pause).await;
+    let entry = Entry::start(&[script.address]).await;
+    let answer = text(&ask(&entry, method).await);
+    assert_eq!(status(&answer), status(first), "{first:?}: {answer}");
+    assert!(
+        !answer.contains(TEXT) || first == LENGTH,
+        "{method} {first:?}: {answer}"
+    );
+    assert_closed(&script, soon).await;
+}
+
 /// Guards against a request without a caller that holds a connection and a slot for ever, and holds up
 /// a stop.
 #[async_std::test]
