Bound the answers that a call between processes accepts

Seen: a header line or a body without end was held in memory until the limit of the call, or panicked the caller with a huge content-length (capacity overflow); a connection was kept although something else than an answer came. Cause: the limit of 64 MiB held for calls only, not for their answers. Change: 64 KiB of head and 64 MiB of body; a connection is kept only after an answer that could be read. Tests: rpc::an_answer_without_end_is_refused_at_its_largest_size and a_trickled_answer_ends_at_the_limit failed before and pass now.

--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -1,13 +1,22 @@
 //! JSON-RPC over HTTP POST `/rpc`: server glue around jsonrpsee and a client.
 
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_std::future;
+use async_std::io::Read;
+use async_std::io::Write;
 use async_std::net::TcpStream;
 use jsonrpsee::RpcModule;
 use jsonrpsee::types::ErrorObjectOwned;
@@ -31,6 +40,9 @@
 
 /// Largest body of a call or of its answer, in bytes.
 pub const BODY_LIMIT: usize = 64 << 20;
+/// Largest head of an answer, in bytes, with the part of the body that is read with it; the heads of this
+/// project's servers have less than 1 KiB.
+const HEAD_LIMIT: usize = 64 << 10;
 /// Idle connections older than this are not used again: the other side may have lost them silently.
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
 const IDLE_CONNECTIONS: usize = 4;
@@ -126,6 +138,55 @@
     error: Option<ErrorObjectOwned>,
 }
 
+/// A connection whose reads fail once an answer has more bytes than it may have.
+///
+/// async-h1 holds a head and a body of any size, and a timeout ends only reads that wait.
+#[derive(Clone)]
+struct Capped {
+    stream: TcpStream,
+    left: Arc<AtomicUsize>,
+}
+
+impl Capped {
+    fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            left: Arc::new(AtomicUsize::new(HEAD_LIMIT)),
+        }
+    }
+
+    fn allow(&self, bytes: usize) {
+        self.left.store(bytes, Ordering::Relaxed);
+    }
+}
+
+impl Read for Capped {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
+        let left = self.left.load(Ordering::Relaxed);
+        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, out))?;
+        let Some(rest) = left.checked_sub(count) else {
+            let text = "the answer is too large";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+        };
+        self.left.store(rest, Ordering::Relaxed);
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl Write for Capped {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
 struct Idle {
     stream: TcpStream,
     since: Instant,
@@ -205,15 +266,13 @@
             .await
             .map_err(|_| Error::new(Code::Timeout, format!("{}: no answer for {limit:?}", place())))?
             .map_err(|e| Error::new(e.code, format!("{}: {}", place(), e.detail)))?;
-        let answer: Answer = serde_json::from_str(&answer)
-            .map_err(|e| Error::new(Code::BadAnswer, format!("{}: {e}", place())))?;
         match answer.error {
             Some(fault) => Ok(Err(fault)),
             None => Ok(Ok(answer.result.unwrap_or(Value::Null))),
         }
     }
 
-    async fn exchange(&self, body: String) -> Result<String> {
+    async fn exchange(&self, body: String) -> Result<Answer> {
         if fault::is_cut(fault::Direction::Out, self.address) {
             return std::future::pending().await;
         }
@@ -224,7 +283,7 @@
         answer
     }
 
-    async fn send(&self, body: String) -> Result<String> {
+    async fn send(&self, body: String) -> Result<Answer> {
         let stream = self.connect().await?;
         let url = Url::parse(&format!("http://{}/rpc", self.address))
             .map_err(|e| Error::new(Code::BadParams, e.to_string()))?;
@@ -233,11 +292,17 @@
         request.insert_header(CLOCK_HEADER, format!("{:x}", clock::stamp()));
         request.set_content_type(mime::JSON);
         request.set_body(body);
-        let mut response = async_h1::connect(stream.clone(), request)
+        let capped = Capped::new(stream.clone());
+        let mut response = async_h1::connect(capped.clone(), request)
             .await
             .map_err(|e| Error::new(Code::BadAnswer, e.to_string()))?;
         observe_clock(response.header(CLOCK_HEADER).map(|h| h.as_str()));
+        capped.allow(BODY_LIMIT);
         let length = response.len();
+        // The whole length is allocated before the first byte is read.
+        if length.is_some_and(|l| l > BODY_LIMIT) {
+            return Err(Error::new(Code::BadAnswer, "the answer is too large"));
+        }
         let text = response
             .body_string()
             .await
@@ -246,8 +311,10 @@
         if length.is_some_and(|l| l != text.len()) {
             return Err(Error::new(Code::BadAnswer, "the answer was cut"));
         }
+        let answer = serde_json::from_str(&text).map_err(|e| Error::new(Code::BadAnswer, e.to_string()))?;
+        // A process that sends something else may go on with it.
         self.keep(stream);
-        Ok(text)
+        Ok(answer)
     }
 
     async fn connect(&self) -> Result<TcpStream> {
