--- a/src/answer.rs
+++ b/src/answer.rs
@@ -7,6 +7,7 @@
 
 use async_std::future;
 use async_std::io::ReadExt;
+use log::info;
 use tide::http::Body;
 use tide::http::Method;
 use tide::http::Response;
@@ -24,7 +25,8 @@
 use crate::frame::Framing;
 use crate::stage::KeptAnswer;
 
-/// Largest head of an upstream's answer, in bytes.
+/// Largest head of an upstream's answer, in bytes, together with the interim answers before it; four times
+/// what a caller may send.
 const HEAD_BYTES: usize = 64 << 10;
 /// Headers of an upstream's answer at most.
 const HEADERS: usize = 200;
@@ -148,20 +150,29 @@
     }
 }
 
-/// Reads the head of an answer; interim answers are skipped.
+/// Reads the head of an answer; interim answers are skipped, but count towards its size. Without that
+/// limit an upstream that sends them without pause is read for ever: a timeout ends only reads that wait.
 ///
 /// # Errors
 /// `UnexpectedEof` if the connection ended, `InvalidData` if the head is not valid.
 pub(crate) async fn read_head(conn: &mut Buffered, method: Method) -> io::Result<Reply> {
+    let mut interim = 0;
     loop {
-        if let Some((reply, used)) = parse(conn.data(), method)? {
-            conn.consume(used);
-            if !reply.status.is_informational() {
-                return Ok(reply);
+        let head = match parse(conn.data(), method)? {
+            Some((reply, used)) => {
+                conn.consume(used);
+                if !reply.status.is_informational() {
+                    return Ok(reply);
+                }
+                interim += used;
+                if interim < HEAD_BYTES {
+                    continue;
+                }
+                interim
             }
-            continue;
-        }
-        if conn.data().len() >= HEAD_BYTES {
+            None => interim + conn.data().len(),
+        };
+        if head >= HEAD_BYTES {
             return Err(invalid("the head of the answer is too large"));
         }
         if poll_fn(|cx| conn.poll_fill(cx)).await? == 0 {
@@ -294,5 +305,7 @@
     }
 }
 
-/// The longest pause inside the body of an upstream's answer.
-pub(crate) const STALL_LIMIT: Duration = Duration::from_secs(10);
+/// Logs why an attempt has no whole answer.
+pub(crate) fn log_cut(id: &str, upstream: &str, reason: &str) {
+    info!("answer not whole: id={id} upstream={upstream} reason=\"{reason}\"");
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -368,7 +368,7 @@
     }
     attach(&mut request, &frame, head.framing);
     request.set_peer_addr(Some(caller.address));
-    let mut response = respond(shared, request, caller, &frame).await;
+    let mut response = respond(shared, request, caller.clone(), &frame).await;
     let wants_close = response
         .header("connection")
         .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
@@ -377,7 +377,8 @@
     if close {
         response.insert_header("connection", "close");
     }
-    if let Err((reason, e)) = write(&stream, response, method, shared.limits.write).await {
+    let gone = caller.gone();
+    if let Err((reason, e)) = write(&stream, response, method, shared.limits.write, gone).await {
         exchange.end_unwritten(reason, &e.to_string());
         return Next::Close;
     }
--- a/src/http/write.rs
+++ b/src/http/write.rs
@@ -1,5 +1,6 @@
 //! Writes answers and closes connections whose callers may still be sending.
 
+use std::future::Future;
 use std::io;
 use std::task::Poll;
 use std::time::Duration;
@@ -9,6 +10,8 @@
 use async_std::io::ReadExt;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
+use futures::future::Either;
+use futures::future::select;
 use tide::http::Method;
 use tide::http::Response;
 
@@ -33,24 +36,32 @@
 ) -> std::result::Result<(), Failure> {
     let mut response = answer::refusal(error);
     response.insert_header("connection", "close");
-    write(stream, response, Method::Get, limit).await
+    write(stream, response, Method::Get, limit, std::future::pending()).await
 }
 
 /// What failed while an answer was written.
 type Failure = (Unwritten, io::Error);
 
 /// Writes an answer; after an error the connection must be closed, so that the answer looks cut.
+///
+/// It ends with an error as well if `gone` does while the next part of the body is awaited: the upstream
+/// must not work on for a caller that has left.
 pub(super) async fn write(
     mut stream: &TcpStream,
     response: Response,
     method: Method,
     limit: Duration,
+    gone: impl Future<Output = ()>,
 ) -> std::result::Result<(), Failure> {
     let cut = |e: io::Error| (Unwritten::AnswerCut, e);
     let mut encoder = Encoder::new(response, method);
+    let mut gone = Box::pin(gone);
     let mut buffer = vec![0; WRITE_BYTES];
     loop {
-        let mut count = encoder.read(&mut buffer).await.map_err(cut)?;
+        let mut count = match select(encoder.read(&mut buffer), &mut gone).await {
+            Either::Left((read, _)) => read.map_err(cut)?,
+            Either::Right(_) => return Err((Unwritten::CallerGone, io::ErrorKind::ConnectionAborted.into())),
+        };
         if count == 0 {
             return Ok(());
         }
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -46,6 +46,9 @@
 
 /// How long the body of an overload answer is awaited, so that its connection can be reused.
 const SHED_LIMIT: Duration = Duration::from_millis(50);
+/// How long the body of an error answer is awaited until another upstream is tried. The body of a sound
+/// upstream comes with its head; a retry needs most of the time that callers wait, which is 1 s or more.
+const ERROR_LIMIT: Duration = Duration::from_millis(250);
 
 /// What an attempt led to; see section 5.3 of the design.
 pub(crate) enum Outcome {
@@ -184,7 +187,12 @@
     };
     flight.timing = timing;
     match tried? {
-        Try::Done(outcome) => Ok(outcome),
+        Try::Done(outcome) => {
+            if let Outcome::Unknown(_, reason) = &outcome {
+                answer::log_cut(&job.id, &pick.upstream, reason);
+            }
+            Ok(outcome)
+        }
         Try::Stale => {
             let detail = "a reused connection died or was silent";
             Ok(Outcome::Unknown(Attempt::Stale, detail.into()))
@@ -337,7 +345,7 @@
     let frame = Frame::new(buffered, reply.framing);
     if reply.is_not_run(dialect) {
         job.unsend();
-        shed(shared, &reply, frame, conn).await;
+        shed(shared, job, pick, &reply, frame, conn).await;
         return Try::Done(Outcome::NotRun);
     }
     Try::Done(read_body(shared, job, reply, frame, conn).await)
@@ -401,7 +409,20 @@
         return Outcome::Answered(Answer { reply, body });
     }
     let mut body = Vec::new();
-    match future::timeout(job.left(), answer::read_short(&mut frame, &mut body)).await {
+    let read = answer::read_short(&mut frame, &mut body);
+    // The body of an error may have no end; others are tried beside it, as for any attempt that takes long.
+    let read = async {
+        let mut read = pin!(read);
+        if job.idempotent && reply.status.is_server_error() {
+            let early = future::timeout(ERROR_LIMIT, read.as_mut()).await;
+            if let Ok(read) = early {
+                return read;
+            }
+            job.set_overdue();
+        }
+        read.await
+    };
+    match future::timeout(job.left(), read).await {
         Ok(Ok(Some(()))) => {}
         Ok(Ok(None)) => {
             let body = AnswerBody::Open(frame, conn, body);
@@ -420,11 +441,19 @@
     })
 }
 
-async fn shed<S: Stages>(shared: &Shared<S>, reply: &Reply, mut frame: Frame, conn: Connection) {
+async fn shed<S: Stages>(
+    shared: &Shared<S>,
+    job: &Job,
+    pick: &Pick,
+    reply: &Reply,
+    mut frame: Frame,
+    conn: Connection,
+) {
     let mut body = Vec::new();
     let read = answer::read_short(&mut frame, &mut body);
-    if let Ok(Ok(_)) = future::timeout(SHED_LIMIT, read).await {
-        keep(shared, reply, &frame, conn);
+    match future::timeout(SHED_LIMIT, read).await {
+        Ok(Ok(Some(()))) => keep(shared, reply, &frame, conn),
+        _ => answer::log_cut(&job.id, &pick.upstream, "an overload answer without an end"),
     }
 }
 
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -100,7 +100,7 @@
 }
 
 /// What is known while attempts go on.
-struct Progress {
+struct Progress<S: Stages> {
     /// Upstreams that were chosen.
     tried: Vec<UpstreamId>,
     /// Upstreams that got the request, without those that still work on it.
@@ -111,10 +111,20 @@
     error: Error,
     /// An answer with a status of 500 or more, returned if no further attempt does better.
     fallback: Option<Done>,
+    /// Such an answer that is not read to its end; it goes before `fallback`.
+    open: Option<Ended<S, Answer>>,
+}
+
+impl<S: Stages> Progress<S> {
+    fn set_open(&mut self, open: Option<Ended<S, Answer>>) {
+        if let Some((flight, _)) = std::mem::replace(&mut self.open, open) {
+            flight.end(Attempt::Failed);
+        }
+    }
 }
 
 /// An attempt that has ended.
-type Ended<S> = (InFlight<S>, Result<Outcome>);
+type Ended<S, E = Result<Outcome>> = (InFlight<S>, E);
 
 impl<S: Stages> Shared<S> {
     /// Sends the request until it is answered or must not be sent again.
@@ -125,8 +135,17 @@
             closed: false,
             error: Code::NoUpstream.into(),
             fallback: None,
+            open: None,
         };
-        if let Some((flight, answer)) = self.race(&job, ticket.as_ref(), &mut progress).await {
+        let answered = self.race(&job, ticket.as_ref(), &mut progress).await;
+        let answered = match answered {
+            Some(answered) => {
+                progress.set_open(None);
+                Some(answered)
+            }
+            None => progress.open.take(),
+        };
+        if let Some((flight, answer)) = answered {
             self.parts.quarantine.clear(&job.fingerprint);
             return self.answer(&job, flight, ticket, answer).await;
         }
@@ -147,8 +166,8 @@
         self: &Arc<Self>,
         job: &Arc<Job>,
         ticket: Option<&Ticket<S>>,
-        progress: &mut Progress,
-    ) -> Option<(InFlight<S>, Answer)> {
+        progress: &mut Progress<S>,
+    ) -> Option<Ended<S, Answer>> {
         let mut running = FuturesUnordered::new();
         let mut more = true;
         loop {
@@ -175,7 +194,7 @@
         self: &Arc<Self>,
         job: &Arc<Job>,
         running: usize,
-        progress: &mut Progress,
+        progress: &mut Progress<S>,
     ) -> Option<InFlight<S>> {
         let most = match job.route.attempts {
             0 => ATTEMPTS,
@@ -256,8 +275,8 @@
         job: &Job,
         flight: InFlight<S>,
         outcome: Result<Outcome>,
-        progress: &mut Progress,
-    ) -> Option<(InFlight<S>, Answer)> {
+        progress: &mut Progress<S>,
+    ) -> Option<Ended<S, Answer>> {
         let outcome = match outcome {
             Ok(outcome) => outcome,
             Err(error) => {
@@ -278,11 +297,14 @@
                 flight.end(Attempt::Shed);
                 progress.error = Error::new(Code::Overloaded, "every tried upstream sheds load or drains");
             }
-            Outcome::Answered(answer) if self.is_worth_retry(job, &answer) => {
-                let latency = flight.timing.latency;
-                flight.end(Attempt::Failed);
-                progress.fallback = Some(Done::answered(full(answer), latency));
-            }
+            Outcome::Answered(answer) if self.is_worth_retry(job, &answer) => match answer.body {
+                AnswerBody::Full(_) => {
+                    let latency = flight.timing.latency;
+                    flight.end(Attempt::Failed);
+                    progress.fallback = Some(Done::answered(full(answer), latency));
+                }
+                AnswerBody::Open(..) => progress.set_open(Some((flight, answer))),
+            },
             Outcome::Answered(answer) => return Some((flight, answer)),
             Outcome::Unknown(attempt, detail) => {
                 flight.end(attempt);
@@ -316,7 +338,6 @@
         job.idempotent
             && answer.reply.status.is_server_error()
             && answer.reply.status != StatusCode::NotImplemented
-            && matches!(answer.body, AnswerBody::Full(_))
     }
 
     /// Reports a crash before the caller gets an answer with which it may send again.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -14,6 +14,7 @@
 mod overdue;
 #[path = "path/queue.rs"]
 mod queue;
+#[allow(dead_code, reason = "flows are used by tests/endless.rs")]
 #[path = "path/script.rs"]
 mod script;
 #[path = "path/serve.rs"]
