--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -459,3 +459,16 @@
         "[Cancelled]"
     );
 }
+
+/// Guards against a caller that gets no head because its answer was cut before the first byte of the body.
+#[async_std::test]
+async fn an_answer_that_is_cut_after_its_head_has_a_head() {
+    const LONG: &str = "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n";
+    for _ in 0..200 {
+        let script = script(vec![Answer(LONG)]).await;
+        let entry = Entry::start(&[script.address]).await;
+        let answer = ask(&entry, "POST").await;
+        assert_eq!(status(&text(&answer)), 200);
+        assert!(!is_whole(&answer));
+    }
+}
