Ask the retry budget before a fresh connection goes beside a silent one

The upstream may run the request on both connections. Without the budget nothing bounded this when all requests of a route got slow at once.

An attempt that ends also answers what another one told about being overdue, so that one event starts one attempt. Two more tests guard what held already: an upstream that sheds does not speak for another one that has the request, and attempts beside each other keep the route's limit.

--- a/src/fleet/uplink/stages.rs
+++ b/src/fleet/uplink/stages.rs
@@ -284,7 +284,7 @@
         Some(state.patience(&route.id, target))
     }
 
-    /// A silent reused connection ends with the patience for the upstream.
+    /// The patience for the upstream says when others are tried; a silent connection needs no limit of its own.
     fn reuse_limit(&self, _route: &RouteId) -> Duration {
         REUSE_LIMIT
     }
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -215,10 +215,16 @@
     match until_silent(first.as_mut(), &silent).await {
         Some((Ok(Try::Stale), _)) if shared.parts.chooser.reconnects() => return fresh.await,
         Some(tried) => return tried,
-        None => info!(
-            "reused connection silent: id={} upstream={}",
-            job.id, pick.upstream
-        ),
+        None => {}
+    }
+    // The upstream may get the request twice at the same time.
+    let is_allowed = shared.parts.chooser.take_retry_of(&job.route);
+    info!(
+        "reused connection silent: id={} upstream={} fresh={is_allowed}",
+        job.id, pick.upstream
+    );
+    if !is_allowed {
+        return first.await;
     }
     match select(first, pin!(fresh)).await {
         Either::Left((tried, fresh)) => better(tried, fresh).await,
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -186,6 +186,8 @@
                 return answered;
             }
             more = !progress.closed;
+            // The next attempt answers this as well.
+            job.take_overdue();
         }
     }
 
--- a/src/stage.rs
+++ b/src/stage.rs
@@ -165,7 +165,7 @@
     Stale,
     /// It did not answer in time.
     Late,
-    /// The caller went away; says nothing about the upstream.
+    /// The caller went away or another upstream answered first; says nothing about the upstream.
     Cancelled,
 }
 
--- a/tests/path/overdue.rs
+++ b/tests/path/overdue.rs
@@ -1,6 +1,7 @@
 //! Upstreams that take longer than usual for a request: others are tried, and the one at work is kept.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +11,7 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use zinnialoom::code::Code;
+use zinnialoom::view::View;
 
 use crate::fakes::Entry;
 use crate::fakes::any;
@@ -135,6 +137,54 @@
     assert!(is_late_answer(&answer), "{answer}");
 }
 
+/// Guards against an upstream that gets a request twice at the same time, beyond the retry budget, because a
+/// reused connection seemed silent.
+#[async_std::test]
+async fn a_silent_reused_connection_needs_retry_budget_for_a_fresh_one() {
+    let script = Script::start(&[&[Answer(OK), Answer(""), Wait(300), Write(LATE)], &[Answer(OK)]]).await;
+    let entry = Entry::start(&[script.address]).await;
+    *entry.fakes.reuse_limit.lock().unwrap() = PATIENCE;
+    entry.fakes.retries.store(0, Ordering::SeqCst);
+    assert_eq!(status(&entry.ask("GET", "/forecast", "").await), 200);
+    let answer = entry.ask("GET", "/forecast", "").await;
+    assert!(is_late_answer(&answer), "{answer}");
+    assert_eq!((script.connections(), script.requests()), (1, 2));
+}
+
+/// Guards against "not run" for a request that one upstream refused to run while another had it.
+#[async_std::test]
+async fn an_upstream_that_sheds_does_not_speak_for_another_one() {
+    let silent = Script::start(&[&[Silent]]).await;
+    let next = Script::start(&[&[Answer(SHED)]]).await;
+    let entry = entry(&[silent.address, next.address]).await;
+    let answer = entry
+        .ask("GET", "/forecast", "x-request-timeout-ms: 300\r\n")
+        .await;
+    let expected = (504, Code::DeadlineAfter.number(), "unknown".into());
+    assert_eq!(verdict(&answer), expected, "{answer}");
+}
+
+/// Guards against more sends than the route allows, and against a retry budget that is charged for others
+/// than these, while several attempts run.
+#[async_std::test]
+async fn attempts_beside_each_other_keep_the_limit_of_the_route() {
+    let scripts = [
+        Script::start(&[&[Silent]]).await,
+        Script::start(&[&[Silent]]).await,
+        Script::start(&[&[Silent]]).await,
+    ];
+    let entry = entry(&scripts.each_ref().map(|s| s.address)).await;
+    let mut view = View::clone(&entry.fakes.view.lock().unwrap());
+    view.routes.iter_mut().for_each(|route| route.attempts = 2);
+    *entry.fakes.view.lock().unwrap() = Arc::new(view);
+    let answer = entry
+        .ask("GET", "/forecast", "x-request-timeout-ms: 400\r\n")
+        .await;
+    assert_eq!(status(&answer), 504, "{answer}");
+    assert_eq!(scripts.each_ref().map(Script::requests), [1, 1, 0]);
+    assert_eq!(entry.fakes.retries.load(Ordering::SeqCst), 99);
+}
+
 /// Guards against waiting for a slow upstream until it answers although another one has answered, and
 /// against work that goes on there.
 #[async_std::test]
@@ -167,10 +217,11 @@
     caller.write_all(text.as_bytes()).await.unwrap();
     task::sleep(PATIENCE * 3).await;
     assert_eq!(scripts.each_ref().map(Script::requests), [1, 1]);
+    let abandoned = || scripts.each_ref().map(|s| s.abandoned.load(Ordering::SeqCst));
+    assert_eq!(abandoned(), [0, 0], "both are at work");
     drop(caller);
     task::sleep(Duration::from_millis(100)).await;
-    let abandoned = scripts.each_ref().map(|s| s.abandoned.load(Ordering::SeqCst));
-    assert_eq!(abandoned, [1, 1]);
+    assert_eq!(abandoned(), [1, 1]);
     assert_eq!(entry.fakes.in_flight.load(Ordering::SeqCst), 0);
 }
 
