Try another upstream beside an answer that has begun and does not end

A head or a short body that comes byte by byte kept an idempotent request until its deadline, because the patience for an upstream covered the first byte only. After another such time others are tried beside it now.

overdue::an_answer_that_has_begun_is_not_awaited_alone failed before and passes now.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -321,31 +321,44 @@
         Ok(false) => return died("the connection ended before the answer"),
         Err(e) => return died(&e.to_string()),
     }
-    let head = reply::read_head(buffered, job, dialect, &id, reused);
-    let (mut reply, buffered) = match future::timeout(job.left(), head).await {
-        Ok(Ok(head)) => head,
-        Ok(Err(e)) if e.kind() == io::ErrorKind::InvalidData => return wrong(&e.to_string()),
-        Ok(Err(e)) => return died(&e.to_string()),
-        Err(_) => return late(),
+    let rest = async {
+        let head = reply::read_head(buffered, job, dialect, &id, reused);
+        let (mut reply, buffered) = match future::timeout(job.left(), head).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(e)) if e.kind() == io::ErrorKind::InvalidData => return wrong(&e.to_string()),
+            Ok(Err(e)) => return died(&e.to_string()),
+            Err(_) => return late(),
+        };
+        fail::fail_point!("proxy-head");
+        if dialect.echoes_id && reply.header(&dialect.id).is_none() {
+            return wrong("the answer names no request");
+        }
+        let stamp = dialect.stamp.as_deref();
+        if reply.status.is_success() && stamp.is_some_and(|name| reply.header(name).is_none()) {
+            return wrong("a success without the mark of an upstream");
+        }
+        // The upstream may still wait for the rest of the body.
+        reply.close |= !matches!(written, Written::All);
+        timing.load = reply.header("x-load").and_then(|load| load.parse().ok());
+        let frame = Frame::new(buffered, reply.framing);
+        if reply.is_not_run(dialect) {
+            job.unsend();
+            reply::shed(shared, job, pick, &reply, frame, conn).await;
+            return Try::Done(Outcome::NotRun);
+        }
+        Try::Done(reply::read_body(shared, job, reply, frame, conn).await)
     };
-    fail::fail_point!("proxy-head");
-    if dialect.echoes_id && reply.header(&dialect.id).is_none() {
-        return wrong("the answer names no request");
-    }
-    let stamp = dialect.stamp.as_deref();
-    if reply.status.is_success() && stamp.is_some_and(|name| reply.header(name).is_none()) {
-        return wrong("a success without the mark of an upstream");
-    }
-    // The upstream may still wait for the rest of the body.
-    reply.close |= !matches!(written, Written::All);
-    timing.load = reply.header("x-load").and_then(|load| load.parse().ok());
-    let frame = Frame::new(buffered, reply.framing);
-    if reply.is_not_run(dialect) {
-        job.unsend();
-        reply::shed(shared, job, pick, &reply, frame, conn).await;
-        return Try::Done(Outcome::NotRun);
+    let mut rest = pin!(rest);
+    let patience = shared.parts.chooser.patience(&job.route);
+    if let Some(patience) = patience.filter(|_| job.idempotent) {
+        // What has begun may come byte by byte, or have no end.
+        if let Ok(tried) = future::timeout(patience, rest.as_mut()).await {
+            return tried;
+        }
+        info!("answer overdue: id={} upstream={}", job.id, pick.upstream);
+        job.set_overdue();
     }
-    Try::Done(reply::read_body(shared, job, reply, frame, conn).await)
+    rest.await
 }
 
 /// Waits for the first byte of the answer until the deadline.
--- a/tests/path/overdue.rs
+++ b/tests/path/overdue.rs
@@ -23,6 +23,7 @@
 use crate::script::OK;
 use crate::script::Script;
 use crate::script::Step::Answer;
+use crate::script::Step::Flow;
 use crate::script::Step::Silent;
 use crate::script::Step::Wait;
 use crate::script::Step::Write;
@@ -172,6 +173,25 @@
     assert_eq!(script.connections(), 2);
 }
 
+/// Guards against waiting until the deadline for an answer that has begun and comes byte by byte, although
+/// another upstream would answer.
+#[async_std::test]
+async fn an_answer_that_has_begun_is_not_awaited_alone() {
+    static LINES: [&[Line]; 2] = [
+        &[&[Flow("HTTP/1.1 200 OK\r\nx: ", "a", 20)]],
+        &[&[Flow("HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n", "a", 20)]],
+    ];
+    for lines in LINES {
+        let slow = Script::start(lines).await;
+        let spare = Script::start(&[&[Answer(OK)]]).await;
+        let entry = entry(&[slow.address, spare.address]).await;
+        let start = Instant::now();
+        let answer = entry.ask("GET", "/forecast", "").await;
+        assert!(answer.ends_with("\r\n\r\nok"), "{answer}");
+        assert!(start.elapsed() < Duration::from_secs(1));
+    }
+}
+
 /// Guards against "not run" for a request that one upstream refused to run while another had it.
 #[async_std::test]
 async fn an_upstream_that_sheds_does_not_speak_for_another_one() {
