Count a request that is late until its deadline once

The end of the patience noted the upstream as late, and the deadline noted it again. Two such notes make a sound upstream suspect for the whole fleet, so one request that ran long was enough.

tests/fleet/outlook.rs has the rule in virtual time.

--- a/src/fleet/outlook.rs
+++ b/src/fleet/outlook.rs
@@ -13,6 +13,7 @@
 use strum::IntoStaticStr;
 
 use crate::id::UpstreamId;
+use crate::stage::Attempt;
 
 /// A success is news for this long. The users measured their gray failures at about 10 s, and a good
 /// upstream gets several requests in this time.
@@ -99,6 +100,12 @@
     all: HashMap<UpstreamId, Record>,
 }
 
+/// Whether the result of an attempt was noted when the patience for its upstream ended. An answer that comes
+/// later, or the deadline, tells nothing more about the upstream.
+pub fn is_noted(attempt: Attempt, latency: Duration, patience: Duration) -> bool {
+    matches!(attempt, Attempt::Answered | Attempt::Late) && latency >= patience
+}
+
 impl Outlook {
     /// Learns from a note that was made now.
     pub fn learn(&mut self, now: Instant, note: &Note) {
--- a/src/fleet/uplink/stages.rs
+++ b/src/fleet/uplink/stages.rs
@@ -20,6 +20,7 @@
 use crate::error::Result;
 use crate::fleet::budget::Purpose;
 use crate::fleet::message::Frame;
+use crate::fleet::outlook;
 use crate::fleet::steer::Want;
 use crate::grant::Spend;
 use crate::id::RequestId;
@@ -179,7 +180,11 @@
     fn finish(&self, pick: Pick, sample: Sample) {
         let now = Instant::now();
         let mut state = self.shared.state.lock().unwrap();
-        let mut is_slow = false;
+        let target = state.target(&sample.route);
+        let is_noted = target > 0.0 && {
+            let patience = state.patience(&sample.route, target);
+            outlook::is_noted(sample.attempt, sample.latency, patience)
+        };
         match sample.attempt {
             Attempt::Shed => state.steer.shed(now, &pick.upstream),
             Attempt::Refused => state.steer.refuse(now, &pick.upstream),
@@ -187,9 +192,6 @@
             Attempt::Answered => {
                 state.steer.reached(&pick.upstream);
                 state.steer.answered(&pick.upstream);
-                let target = state.target(&sample.route);
-                // An answer that came after the patience was noted when the patience ended.
-                is_slow = target > 0.0 && sample.latency >= state.patience(&sample.route, target);
                 let seconds = sample.latency.as_secs_f64();
                 let latency = state.latencies.entry(sample.route).or_insert(Latency {
                     mean: seconds,
@@ -203,10 +205,10 @@
         }
         let queued = sample.attempt == Attempt::Late && state.is_queueing(&pick.upstream);
         state.steer.end(&pick.upstream);
-        if !queued && matches!(sample.attempt, Attempt::Late | Attempt::Stale) {
+        if !is_noted && !queued && matches!(sample.attempt, Attempt::Late | Attempt::Stale) {
             state.steer.silence(now, &pick.upstream);
         }
-        if !is_slow && !queued {
+        if !is_noted && !queued {
             let sent = now.checked_sub(sample.latency).unwrap_or(now);
             state.note(now, &pick.upstream, sample.attempt, sent);
         }
--- a/tests/fleet/outlook.rs
+++ b/tests/fleet/outlook.rs
@@ -1,10 +1,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use zinnialoom::fleet::outlook;
 use zinnialoom::fleet::outlook::FRESH;
 use zinnialoom::fleet::outlook::Note;
 use zinnialoom::fleet::outlook::Outlook;
 use zinnialoom::fleet::outlook::Standing;
+use zinnialoom::stage::Attempt;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -36,6 +38,25 @@
     assert_eq!(outlook.standing(now + MS * 3, &id), Standing::Sound);
 }
 
+/// Guards against taking a sound upstream out for one request that it does not answer until the deadline,
+/// because the end of the patience and the deadline both count as late.
+#[test]
+fn one_request_that_is_late_until_its_deadline_is_no_suspicion() {
+    let (patience, deadline) = (MS * 400, MS * 1_000);
+    let now = Instant::now();
+    let mut outlook = Outlook::default();
+    let id = "u1".into();
+    outlook.learn(now, &note(5, 0, 0, 0));
+    outlook.learn(now + patience, &note(0, 1, 0, 0));
+    if !outlook::is_noted(Attempt::Late, deadline, patience) {
+        outlook.learn(now + deadline, &note(0, 1, 0, 0));
+    }
+    assert_eq!(outlook.standing(now + deadline, &id), Standing::Sound);
+    assert!(outlook::is_noted(Attempt::Answered, deadline, patience));
+    assert!(!outlook::is_noted(Attempt::Late, patience / 2, patience));
+    assert!(!outlook::is_noted(Attempt::Died, deadline, patience));
+}
+
 /// Guards against taking sound upstreams out for the one error in a hundred that they answer anyway.
 #[test]
 fn one_error_is_no_suspicion_and_two_are() {
