--- a/tests/path/overdue.rs
+++ b/tests/path/overdue.rs
@@ -126,6 +126,23 @@
     assert_eq!(stop.await, 0);
 }
 
+/// Guards against a stop that waits for the first upstream only, or ends while the second one works.
+#[async_std::test]
+async fn a_stop_waits_for_the_second_upstream() {
+    let silent = Script::start(&[&[Silent]]).await;
+    let slow = Script::start(&[SLOW]).await;
+    let entry = entry(&[silent.address, slow.address]).await;
+    let mut caller = TcpStream::connect(entry.running.address()).await.unwrap();
+    let text = request("GET", "/forecast", "");
+    caller.write_all(text.as_bytes()).await.unwrap();
+    task::sleep(PATIENCE * 2).await;
+    assert_eq!((silent.requests(), slow.requests()), (1, 1));
+    let stop = task::spawn(async move { entry.running.stop(Duration::from_secs(3)).await });
+    let answer = read_all(&mut caller).await;
+    assert!(is_late_answer(&answer), "{answer}");
+    assert_eq!(stop.await, 0);
+}
+
 /// Guards against the loss of an answer on a reused connection that seemed silent, when the fresh
 /// connection that was to replace it fails.
 #[async_std::test]
