Log what the quarantine of an entry VM counts, forgets and refuses

No logic changes. The log could not tell why a crash is missing: an ended connection had only `attempt: result=Died`, the table of crashes was silent when it was full, when it forgot and when a VM had no connection, and a refused request had no fingerprint. Now each attempt whose connection ended has a line with the fingerprint of its request, and the table says what it counts, clears, leaves out and does not send.

--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -43,6 +43,7 @@
 use crate::id::UpstreamId;
 use crate::id::VmName;
 use crate::job::Jobs;
+use crate::logger::LogRateLimit;
 use crate::timer::Timer;
 
 pub use self::stages::NoClaims;
@@ -129,6 +130,7 @@
             controls: Vec::new(),
             link: None,
             crashes: HashMap::new(),
+            uncounted_log: LogRateLimit::default(),
             latencies: HashMap::new(),
             entry,
         };
--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -7,6 +7,7 @@
 use async_std::future;
 use async_std::task;
 use futures::channel::oneshot;
+use log::info;
 use smol_str::SmolStr;
 
 use super::CONFIG_FRESH_TIME;
@@ -26,6 +27,7 @@
 use crate::id::RequestId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
+use crate::quarantine;
 use crate::stage::AttemptResult;
 use crate::stage::ChoiceCriteria;
 use crate::stage::Chooser;
@@ -310,12 +312,25 @@
     }
 
     fn clear(&self, fingerprint: &str) {
-        self.shared.state.lock().unwrap().crashes.remove(fingerprint);
+        let cleared = self.shared.state.lock().unwrap().crashes.remove(fingerprint);
+        if let Some(crashes) = cleared {
+            info!(
+                "crashes cleared by an answer: fingerprint={} count={}",
+                quarantine::short(fingerprint),
+                crashes.count
+            );
+        }
     }
 
     async fn report(&self, fingerprint: &str) {
         let mut state = self.shared.state.lock().unwrap();
         let fingerprint = SmolStr::from(fingerprint);
+        if state.link.is_none() {
+            info!(
+                "crash not sent to the fleet: fingerprint={} reason=\"no control VM is connected\"",
+                quarantine::short(&fingerprint)
+            );
+        }
         state.record_crash(Instant::now(), fingerprint.clone());
         state.send(&Frame::Crash { fingerprint });
     }
--- a/src/fleet/control_client/state.rs
+++ b/src/fleet/control_client/state.rs
@@ -7,6 +7,7 @@
 
 use futures::channel::oneshot;
 use log::info;
+use log::warn;
 use smol_str::SmolStr;
 
 use crate::fleet::discovery::UpstreamTable;
@@ -29,6 +30,8 @@
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::logger::LogRateLimit;
+use crate::quarantine;
 use crate::stage::AttemptResult;
 use crate::view::Customer;
 use crate::view::Route;
@@ -103,6 +106,8 @@
     pub(super) link: Option<Link>,
     /// Crashes of upstreams by the fingerprint of the request.
     pub(super) crashes: HashMap<SmolStr, CrashRecord>,
+    /// For crashes that are not counted because of [`MAX_CRASH_RECORDS`].
+    pub(super) uncounted_log: LogRateLimit,
     /// Latencies by route.
     pub(super) latencies: HashMap<SmolStr, Latency>,
 }
@@ -227,17 +232,29 @@
             self.crashes.retain(|_, c| !is_old(c));
         }
         if self.crashes.len() >= MAX_CRASH_RECORDS {
+            if let Some(skipped) = self.uncounted_log.admit(now) {
+                warn!(
+                    "crash not counted: fingerprint={} records={} skipped={skipped}",
+                    quarantine::short(&fingerprint),
+                    self.crashes.len()
+                );
+            }
             return;
         }
+        let name = quarantine::short(&fingerprint).to_owned();
         let crash = self
             .crashes
             .entry(fingerprint)
             .or_insert(CrashRecord { count: 0, at: now });
         if is_old(crash) {
+            info!("crashes expired: fingerprint={name} count={}", crash.count);
             crash.count = 0;
         }
         crash.count += 1;
         crash.at = now;
+        if crash.count > 1 {
+            info!("crash counted: fingerprint={name} count={}", crash.count);
+        }
     }
 
     /// Time without an answer after which an attempt is overdue: a latency that a healthy upstream rarely
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -18,6 +18,7 @@
 use async_std::task;
 use futures::future::Either;
 use futures::future::select;
+use log::info;
 use prometheus::Registry;
 use smol_str::SmolStr;
 use tide::http::Request;
@@ -305,6 +306,12 @@
             .quarantine
             .is_blocked(&admitted.fingerprint, Instant::now())
         {
+            self.meter.count_quarantined();
+            info!(
+                "request blocked: id={} fingerprint={}",
+                admitted.id,
+                admitted.short_fingerprint()
+            );
             return Err(match self.settings.soft_quarantine {
                 true => Error::new(Code::NoUpstream, Code::Quarantined.text()),
                 false => Code::Quarantined.into(),
--- a/src/proxy/meter.rs
+++ b/src/proxy/meter.rs
@@ -4,6 +4,7 @@
 
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::Opts;
 use prometheus::Registry;
@@ -12,6 +13,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::http::UnwrittenReason;
+use crate::stage::AttemptResult;
 
 use super::run::Completion;
 
@@ -26,6 +28,8 @@
     added_latency: Histogram,
     unwritten: IntCounterVec,
     unfinished: IntCounterVec,
+    mid_request_ends: IntCounterVec,
+    quarantined: IntCounter,
 }
 
 impl Meter {
@@ -51,17 +55,33 @@
             "Unanswered requests and tasks of requests that were running when a stop ended",
         );
         let unfinished = IntCounterVec::new(options, &["kind"]).map_err(failed)?;
+        let options = Opts::new(
+            "zinnia_mid_request_ends_total",
+            "Attempts whose connection ended before the whole answer, by result",
+        );
+        let mid_request_ends = IntCounterVec::new(options, &["result"]).map_err(failed)?;
+        let options = Opts::new(
+            "zinnia_quarantined_total",
+            "Requests refused because the same request crashed upstreams",
+        );
+        let quarantined = IntCounter::with_opts(options).map_err(failed)?;
         registry.register(Box::new(requests.clone())).map_err(failed)?;
         registry
             .register(Box::new(added_latency.clone()))
             .map_err(failed)?;
         registry.register(Box::new(unwritten.clone())).map_err(failed)?;
         registry.register(Box::new(unfinished.clone())).map_err(failed)?;
+        registry
+            .register(Box::new(mid_request_ends.clone()))
+            .map_err(failed)?;
+        registry.register(Box::new(quarantined.clone())).map_err(failed)?;
         Ok(Self {
             requests,
             added_latency,
             unwritten,
             unfinished,
+            mid_request_ends,
+            quarantined,
         })
     }
 
@@ -85,6 +105,15 @@
         }
     }
 
+    pub(crate) fn count_mid_request_end(&self, result: AttemptResult) {
+        let name = result.to_string();
+        self.mid_request_ends.with_label_values(&[name.as_str()]).inc();
+    }
+
+    pub(crate) fn count_quarantined(&self) {
+        self.quarantined.inc();
+    }
+
     pub(crate) fn count_unwritten(&self, reason: UnwrittenReason) {
         let name: &'static str = reason.into();
         self.unwritten.with_label_values(&[name]).inc();
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -22,6 +22,7 @@
 use crate::id::CustomerId;
 use crate::id::RequestId;
 use crate::id::ServiceId;
+use crate::quarantine;
 use crate::view::Route;
 use crate::view::WeightedService;
 
@@ -104,6 +105,11 @@
         sha256(&[parts[0], parts[1], self.digest().as_bytes()]).into()
     }
 
+    /// The first characters of the fingerprint, for log lines.
+    pub(crate) fn short_fingerprint(&self) -> &str {
+        quarantine::short(&self.fingerprint)
+    }
+
     /// Time until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -293,7 +293,7 @@
     ) -> Ended<S> {
         let outcome = attempt::attempt(&mut flight, &|| self.check_send(request, ticket)).await;
         if let Ok(Outcome::Unknown(result, _)) = &outcome {
-            self.report_crash(request, *result).await;
+            self.report_crash(request, &flight, *result).await;
         }
         (flight, outcome)
     }
@@ -374,8 +374,21 @@
 
     /// Reports a possible crash of the upstream if the connection died. The report precedes the answer, after
     /// which the caller may send the request again.
-    async fn report_crash(&self, request: &AdmittedRequest, result: AttemptResult) {
-        if result == AttemptResult::Died {
+    async fn report_crash(&self, request: &AdmittedRequest, flight: &InFlight<S>, result: AttemptResult) {
+        let is_reported = result == AttemptResult::Died;
+        if matches!(
+            result,
+            AttemptResult::Died | AttemptResult::Cut | AttemptResult::Stale
+        ) {
+            self.meter.count_mid_request_end(result);
+            info!(
+                "connection ended in mid-request: id={} upstream={} result={result} fingerprint={} reported={is_reported}",
+                request.id,
+                flight.upstream().unwrap_or_default(),
+                request.short_fingerprint()
+            );
+        }
+        if is_reported {
             let report = self.stages.quarantine.report(&request.fingerprint);
             let _ = future::timeout(CRASH_REPORT_TIMEOUT, report).await;
         }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -19,6 +19,14 @@
 /// Largest number of stored fingerprints; they take about 4 MB.
 const MAX_FINGERPRINTS: usize = 20_000;
 
+/// Characters of a fingerprint in log lines; enough to tell apart those that a fleet holds.
+const SHORT_FINGERPRINT: usize = 16;
+
+/// The first characters of a fingerprint, by which log lines name it.
+pub fn short(fingerprint: &str) -> &str {
+    fingerprint.get(..SHORT_FINGERPRINT).unwrap_or(fingerprint)
+}
+
 /// Report that an upstream connection broke in the middle of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
