--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -23,6 +23,8 @@
 mod mesh;
 #[path = "support/ports.rs"]
 mod ports;
+#[path = "fleet/quarantine.rs"]
+mod quarantine;
 #[path = "fleet/retry_budget.rs"]
 mod retry_budget;
 #[path = "fleet/upstream_selector.rs"]
--- /dev/null
+++ b/tests/fleet/quarantine.rs
@@ -0,0 +1,194 @@
+//! Requests that crash upstreams: counted by the whole fleet, and refused by every entry VM.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use zinnialoom::component::Component;
+use zinnialoom::fleet::control_client::ControlClient;
+use zinnialoom::fleet::control_client::ControlClientSettings;
+use zinnialoom::fleet::message::ControlVm;
+use zinnialoom::fleet::message::EntryVm;
+use zinnialoom::fleet::process::ControlProcess;
+use zinnialoom::fleet::process::ControlProcessSettings;
+use zinnialoom::fleet::retry_budget::RetryBound;
+use zinnialoom::grant::Excess;
+use zinnialoom::stage::Quarantine;
+use zinnialoom::timer::Timer;
+
+use crate::ports::free_address;
+
+/// Fingerprint of the request that crashes upstreams.
+const CRASHING: &str = "crashing";
+/// Crashes after which the request must be refused.
+const CRASHES: usize = 3;
+/// Limit for the news of a crash to reach all VMs: the time after the third crash from which further crashes
+/// count against the bound of the users' platform.
+const NEWS_LIMIT: Duration = Duration::from_secs(3);
+/// Requests that end with their connection in 30 s of a played day of a fleet of 111 entry VMs.
+const ENDED_REQUESTS: usize = 3_300;
+
+/// Starts one control VM of a group, whose name is `seeds[n]`.
+async fn control(seeds: &[SmolStr], n: usize, folder: &Path) -> ControlProcess {
+    let settings = ControlProcessSettings {
+        control: ControlVm {
+            vm: seeds[n].clone(),
+            domain: "a".into(),
+        },
+        address: seeds[n].parse().unwrap(),
+        seeds: seeds.to_vec(),
+        retry_window: Duration::from_secs(10),
+        excess: Excess::default(),
+        data_dir: folder.join(format!("c{n}")),
+        is_bootstrap: true,
+    };
+    ControlProcess::open(settings).await.unwrap()
+}
+
+fn seeds(count: usize) -> Vec<SmolStr> {
+    (0..count)
+        .map(|_| format_smolstr!("{}", free_address()))
+        .collect()
+}
+
+/// The client of an entry VM, with the timer that it needs.
+struct Vm {
+    client: ControlClient,
+    _timer: Timer,
+}
+
+impl Vm {
+    fn start(name: &str, seeds: &[SmolStr]) -> Self {
+        let timer = Timer::spawn();
+        let settings = ControlClientSettings {
+            entry: EntryVm {
+                vm: name.into(),
+                domain: "a".into(),
+                caller: SocketAddr::from(([127, 0, 0, 1], 1)),
+                is_ready: true,
+            },
+            seeds: seeds.to_vec(),
+            incarnation: 1,
+            retry_bound: RetryBound {
+                window: Duration::from_secs(10),
+                ratio: 0.2,
+                slack: 10.0,
+            },
+            excess: Excess::default(),
+        };
+        Self {
+            client: ControlClient::spawn(settings, 1, &timer),
+            _timer: timer,
+        }
+    }
+
+    /// Waits until the control VM lists this many entry VMs.
+    async fn wait_entries(&self, count: usize) {
+        wait_until(
+            || self.client.entries().len() == count,
+            "all entry VMs are listed",
+        )
+        .await;
+    }
+
+    async fn report_crashes(&self, count: usize) {
+        for _ in 0..count {
+            self.client.report(CRASHING).await;
+        }
+    }
+
+    fn is_blocking(&self) -> bool {
+        self.client.is_blocked(CRASHING, Instant::now())
+    }
+
+    async fn wait_blocked(&self) {
+        wait_until(|| self.is_blocking(), "the request is blocked").await;
+    }
+
+    async fn stop(self) {
+        self.client.stop().await;
+    }
+}
+
+/// Waits until the condition holds; panics after [`NEWS_LIMIT`].
+async fn wait_until(condition: impl Fn() -> bool, name: &str) {
+    let end = Instant::now() + NEWS_LIMIT;
+    while !condition() {
+        assert!(Instant::now() < end, "not within {NEWS_LIMIT:?}: {name}");
+        task::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against a request that crashes one upstream after the other because its crashes are not counted
+/// while thousands of other requests end with their connections.
+#[async_std::test]
+async fn a_crashing_request_is_blocked_among_thousands_of_ended_ones() {
+    let vm = Vm::start("e1", &[]);
+    for n in 0..ENDED_REQUESTS {
+        vm.client.report(&format!("other{n}")).await;
+    }
+    vm.report_crashes(CRASHES).await;
+    assert!(vm.is_blocking());
+    vm.stop().await;
+}
+
+/// Guards against a request that crashes upstreams again through each entry VM that starts after it was
+/// blocked.
+#[async_std::test]
+async fn a_vm_that_starts_later_blocks_a_crashing_request() {
+    let folder = tempfile::tempdir().unwrap();
+    let seeds = seeds(1);
+    let control = control(&seeds, 0, folder.path()).await;
+    let first = Vm::start("e1", &seeds);
+    first.wait_entries(1).await;
+    first.report_crashes(CRASHES).await;
+    first.wait_blocked().await;
+    let second = Vm::start("e2", &seeds);
+    second.wait_entries(2).await;
+    second.wait_blocked().await;
+    first.stop().await;
+    second.stop().await;
+    control.stop().await;
+}
+
+/// Guards against crashes that the rest of the fleet never learns of because the VM that saw them had no
+/// connection to a control VM.
+#[async_std::test]
+async fn crashes_seen_without_a_control_vm_are_reported_later() {
+    let folder = tempfile::tempdir().unwrap();
+    let seeds = seeds(1);
+    let cut_off = Vm::start("e1", &seeds);
+    cut_off.report_crashes(CRASHES).await;
+    let control = control(&seeds, 0, folder.path()).await;
+    let other = Vm::start("e2", &seeds);
+    other.wait_entries(2).await;
+    other.wait_blocked().await;
+    cut_off.stop().await;
+    other.stop().await;
+    control.stop().await;
+}
+
+/// Guards against a request that is sent again by the whole fleet after the control VMs, which count the
+/// crashes, have all restarted.
+#[async_std::test]
+async fn a_request_stays_blocked_when_the_control_vms_restart() {
+    let folder = tempfile::tempdir().unwrap();
+    let seeds = seeds(1);
+    let first_run = control(&seeds, 0, folder.path()).await;
+    let first = Vm::start("e1", &seeds);
+    first.wait_entries(1).await;
+    first.report_crashes(CRASHES).await;
+    first.wait_blocked().await;
+    first_run.stop().await;
+    let second_run = control(&seeds, 0, folder.path()).await;
+    let second = Vm::start("e2", &seeds);
+    second.wait_entries(2).await;
+    second.wait_blocked().await;
+    first.stop().await;
+    second.stop().await;
+    second_run.stop().await;
+}
