Evict single crashes before repeated ones, instead of counting none

Cause: an entry VM kept 2,000 fingerprints for 30 s and ignored every crash while the table was full, also one of a request that it already counted. Besides, a block ended 30 s after the last crash and counting began at nought, so each 30 s allowed three more crashes.

The product had a table that evicts (quarantine.rs). It now serves both: it evicts the fingerprint with the fewest crashes, identifies each crash so that it counts once, and after a block one more crash blocks again for twice as long, up to 10 min.

--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -13,16 +13,23 @@
 use futures::future::join_all;
 use jsonrpsee::RpcModule;
 use jsonrpsee::types::ErrorObjectOwned;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
 
 use crate::code::Code;
 use crate::component::Component;
 use crate::error::Error;
 use crate::error::Result;
+use crate::id::CrashId;
 use crate::id::Incarnation;
 use crate::id::VmName;
 use crate::peers::Peers;
-use crate::quarantine::CrashReport;
+use crate::quarantine::BlockPolicy;
+use crate::quarantine::CrashRecord;
 use crate::quarantine::CrashTable;
+use crate::quarantine::MAX_BLOCK_TIME;
+use crate::rendezvous;
 use crate::secret::Secret;
 use crate::stage::Config;
 use crate::stage::Quarantine;
@@ -33,6 +40,36 @@
 /// Largest number of calls to one VM to deliver a report.
 const MAX_REPORT_TRIES: u32 = 3;
 
+/// Two crashes block a fingerprint; 20,000 fingerprints take about 4 MB.
+const POLICY: BlockPolicy = BlockPolicy {
+    threshold: 2,
+    block_time: MAX_BLOCK_TIME,
+    capacity: 20_000,
+};
+
+/// Report that an upstream connection broke in the middle of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct CrashReport {
+    /// Fingerprint of the request.
+    fingerprint: SmolStr,
+    /// VM that forwarded the request.
+    vm: VmName,
+    /// Run of that VM.
+    incarnation: Incarnation,
+    /// Number of the crash in that run; a report that arrives twice counts once.
+    number: u64,
+}
+
+impl CrashReport {
+    fn id(&self) -> CrashId {
+        rendezvous::hash(&[
+            self.vm.as_bytes(),
+            &self.incarnation.to_be_bytes(),
+            &self.number.to_be_bytes(),
+        ])
+    }
+}
+
 struct Inner<C> {
     local_vm: VmName,
     incarnation: Incarnation,
@@ -55,7 +92,7 @@
             incarnation,
             config,
             peers: Peers::new(secret),
-            crashes: Mutex::new(CrashTable::new()),
+            crashes: Mutex::new(CrashTable::new(POLICY)),
             next_number: AtomicU64::new(1),
         });
         Self { inner }
@@ -110,7 +147,8 @@
 
 impl<C: Config> Inner<C> {
     fn record(&self, report: &CrashReport) {
-        self.crashes.lock().unwrap().record(Instant::now(), report);
+        let crash = CrashRecord::of_crash(&report.fingerprint, report.id());
+        self.crashes.lock().unwrap().merge(Instant::now(), &crash);
     }
 
     async fn send_report(&self, vm: &VmName, report: &CrashReport) {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod control_client;
 pub mod control_selector;
 pub mod control_server;
+mod crash_policy;
 pub mod discovery;
 pub mod entry_vms;
 pub mod health;
--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -23,6 +23,7 @@
 use crate::fleet::control_selector::ControlSelector;
 use crate::fleet::control_selector::LeaveReason;
 use crate::fleet::control_server;
+use crate::fleet::crash_policy;
 use crate::fleet::discovery::Announcement;
 use crate::fleet::discovery::UpstreamTable;
 use crate::fleet::health::HealthTable;
@@ -43,7 +44,8 @@
 use crate::id::UpstreamId;
 use crate::id::VmName;
 use crate::job::Jobs;
-use crate::logger::LogRateLimit;
+use crate::quarantine::CrashRecord;
+use crate::quarantine::CrashTable;
 use crate::timer::Timer;
 
 pub use self::stages::NoClaims;
@@ -129,8 +131,7 @@
             entries: Vec::new(),
             controls: Vec::new(),
             link: None,
-            crashes: HashMap::new(),
-            uncounted_log: LogRateLimit::default(),
+            crashes: CrashTable::new(crash_policy::ENTRY),
             latencies: HashMap::new(),
             entry,
         };
@@ -379,7 +380,9 @@
                 let requests = state.token_pool.due_requests(now, &grant.customer);
                 state.send_token_requests(requests);
             }
-            Frame::Crash { fingerprint } => state.record_crash(now, fingerprint),
+            Frame::Crash { fingerprint } => {
+                state.merge_crashes(now, &CrashRecord::of_crash(&fingerprint, rand::random()));
+            }
             _ => {}
         }
     }
--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -13,7 +13,6 @@
 use super::CONFIG_FRESH_TIME;
 use super::ControlClient;
 use super::STARTUP_POLL_PERIOD;
-use super::state::CRASH_WINDOW;
 use super::state::Latency;
 use super::state::State;
 use crate::code::Code;
@@ -28,6 +27,7 @@
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::quarantine;
+use crate::quarantine::CrashRecord;
 use crate::stage::AttemptResult;
 use crate::stage::ChoiceCriteria;
 use crate::stage::Chooser;
@@ -54,9 +54,6 @@
 /// processes that overlap at restarts.
 const USED_CONNECTION_RATIO: f64 = 0.9;
 
-/// Number of crashes after which requests with their fingerprint are blocked.
-const CRASH_THRESHOLD: u32 = 3;
-
 /// Weight of a new sample in the moving averages of the latency.
 const LATENCY_GAIN: f64 = 0.1;
 
@@ -305,19 +302,15 @@
 impl Quarantine for ControlClient {
     fn is_blocked(&self, fingerprint: &str, now: Instant) -> bool {
         let state = self.shared.state.lock().unwrap();
-        state
-            .crashes
-            .get(fingerprint)
-            .is_some_and(|c| c.count >= CRASH_THRESHOLD && now.saturating_duration_since(c.at) < CRASH_WINDOW)
+        state.crashes.is_blocked(now, fingerprint)
     }
 
     fn clear(&self, fingerprint: &str) {
-        let cleared = self.shared.state.lock().unwrap().crashes.remove(fingerprint);
+        let cleared = self.shared.state.lock().unwrap().crashes.clear(fingerprint);
         if let Some(crashes) = cleared {
             info!(
-                "crashes cleared by an answer: fingerprint={} count={}",
-                quarantine::short(fingerprint),
-                crashes.count
+                "crashes cleared by an answer: fingerprint={} crashes={crashes}",
+                quarantine::short(fingerprint)
             );
         }
     }
@@ -331,7 +324,8 @@
                 quarantine::short(&fingerprint)
             );
         }
-        state.record_crash(Instant::now(), fingerprint.clone());
+        let crash = CrashRecord::of_crash(&fingerprint, rand::random());
+        state.merge_crashes(Instant::now(), &crash);
         state.send(&Frame::Crash { fingerprint });
     }
 }
--- a/src/fleet/control_client/state.rs
+++ b/src/fleet/control_client/state.rs
@@ -7,7 +7,6 @@
 
 use futures::channel::oneshot;
 use log::info;
-use log::warn;
 use smol_str::SmolStr;
 
 use crate::fleet::discovery::UpstreamTable;
@@ -30,8 +29,9 @@
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
-use crate::logger::LogRateLimit;
 use crate::quarantine;
+use crate::quarantine::CrashRecord;
+use crate::quarantine::CrashTable;
 use crate::stage::AttemptResult;
 use crate::view::Customer;
 use crate::view::Route;
@@ -44,13 +44,6 @@
 /// grants the tokens, is lost. The token buckets of a new leader may start with as much again.
 pub(super) const FALLBACK_EXCESS_RATIO: f64 = 0.4;
 
-/// Crashes that requests with the same fingerprint cause count together if each follows the one before within
-/// this time; a blocked fingerprint stays blocked for this time after the last crash.
-pub(super) const CRASH_WINDOW: Duration = Duration::from_secs(30);
-
-/// Largest number of fingerprints whose crashes are counted.
-pub(super) const MAX_CRASH_RECORDS: usize = 2_000;
-
 /// An attempt is overdue at the mean latency plus this many mean deviations.
 pub(super) const OVERDUE_DEVIATIONS: f64 = 8.0;
 
@@ -58,13 +51,6 @@
 /// the target itself.
 pub(super) const MIN_OVERDUE_RATIO: f64 = 0.6;
 
-/// Crashes of upstreams that requests with the same fingerprint caused.
-pub(super) struct CrashRecord {
-    pub(super) count: u32,
-    /// When the last one was counted.
-    pub(super) at: Instant,
-}
-
 /// Moving averages of the latency of a route, in seconds.
 #[derive(Clone, Copy)]
 pub(super) struct Latency {
@@ -105,9 +91,7 @@
     /// Connection to a control VM.
     pub(super) link: Option<Link>,
     /// Crashes of upstreams by the fingerprint of the request.
-    pub(super) crashes: HashMap<SmolStr, CrashRecord>,
-    /// For crashes that are not counted because of [`MAX_CRASH_RECORDS`].
-    pub(super) uncounted_log: LogRateLimit,
+    pub(super) crashes: CrashTable,
     /// Latencies by route.
     pub(super) latencies: HashMap<SmolStr, Latency>,
 }
@@ -225,35 +209,17 @@
         }
     }
 
-    /// Counts a crash, unless [`MAX_CRASH_RECORDS`] fingerprints caused crashes recently.
-    pub(super) fn record_crash(&mut self, now: Instant, fingerprint: SmolStr) {
-        let is_old = |c: &CrashRecord| now.saturating_duration_since(c.at) >= CRASH_WINDOW;
-        if self.crashes.len() >= MAX_CRASH_RECORDS {
-            self.crashes.retain(|_, c| !is_old(c));
-        }
-        if self.crashes.len() >= MAX_CRASH_RECORDS {
-            if let Some(skipped) = self.uncounted_log.admit(now) {
-                warn!(
-                    "crash not counted: fingerprint={} records={} skipped={skipped}",
-                    quarantine::short(&fingerprint),
-                    self.crashes.len()
-                );
-            }
-            return;
-        }
-        let name = quarantine::short(&fingerprint).to_owned();
-        let crash = self
-            .crashes
-            .entry(fingerprint)
-            .or_insert(CrashRecord { count: 0, at: now });
-        if is_old(crash) {
-            info!("crashes expired: fingerprint={name} count={}", crash.count);
-            crash.count = 0;
-        }
-        crash.count += 1;
-        crash.at = now;
-        if crash.count > 1 {
-            info!("crash counted: fingerprint={name} count={}", crash.count);
+    /// Adds what this VM or another one knows of the crashes that a request caused.
+    pub(super) fn merge_crashes(&mut self, now: Instant, record: &CrashRecord) {
+        let outcome = self.crashes.merge(now, record);
+        let name = quarantine::short(&record.fingerprint);
+        if outcome.is_newly_blocked {
+            info!(
+                "fingerprint blocked: fingerprint={name} crashes={}",
+                outcome.crashes
+            );
+        } else if outcome.is_new && outcome.crashes > 1 {
+            info!("crash counted: fingerprint={name} crashes={}", outcome.crashes);
         }
     }
 
--- a/src/id.rs
+++ b/src/id.rs
@@ -21,6 +21,9 @@
 /// Identifies one request: the caller's `idempotency-key`, or one made by the entry VM.
 pub type RequestId = SmolStr;
 
+/// Identifies one crash of an upstream, so that a report that arrives again is not counted again.
+pub type CrashId = u64;
+
 /// Version of the configuration: the log index of the last applied change. In a record, the log index
 /// of the change that last wrote it; 0 stands for a record that does not exist.
 pub type Version = u64;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,4 +1,7 @@
 //! Blocks fingerprints of requests that crash upstreams (section 5.3 of the design).
+//!
+//! VMs tell each other what they know as [`CrashRecord`]s. Merging them is idempotent and their order doesn't
+//! matter, so a VM may get the same crash on several ways, and again after each lost connection.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -9,16 +12,12 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use crate::id::Incarnation;
-use crate::id::VmName;
+use crate::id::CrashId;
 
-/// Two crashes within this time block a fingerprint.
+/// Time for which a crash counts.
 pub const CRASH_WINDOW: Duration = Duration::from_secs(10 * 60);
-/// Time for which a fingerprint is blocked.
-pub const BLOCK_TIME: Duration = Duration::from_secs(10 * 60);
-/// Largest number of stored fingerprints; they take about 4 MB.
-const MAX_FINGERPRINTS: usize = 20_000;
-
+/// Longest time for which a fingerprint is blocked.
+pub const MAX_BLOCK_TIME: Duration = Duration::from_secs(10 * 60);
 /// Characters of a fingerprint in log lines; enough to tell apart those that a fleet holds.
 const SHORT_FINGERPRINT: usize = 16;
 
@@ -27,66 +26,152 @@
     fingerprint.get(..SHORT_FINGERPRINT).unwrap_or(fingerprint)
 }
 
-/// Report that an upstream connection broke in the middle of a request.
+/// When and for how long a fingerprint is blocked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BlockPolicy {
+    /// Number of crashes that block a fingerprint; at least 1.
+    pub threshold: usize,
+    /// Length of the first block, from the last crash on. One more crash after its end blocks again, for twice
+    /// as long, up to [`MAX_BLOCK_TIME`].
+    pub block_time: Duration,
+    /// Largest number of fingerprints that are kept.
+    pub capacity: usize,
+}
+
+/// What a VM knows of the crashes that requests with one fingerprint caused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Fingerprint of the request.
+pub struct CrashRecord {
+    /// Fingerprint of the requests.
     pub fingerprint: SmolStr,
-    /// VM that forwarded the request.
-    pub vm: VmName,
-    /// Run of that VM.
-    pub incarnation: Incarnation,
-    /// Number of the crash in that run; a report that arrives twice counts once.
-    pub number: u64,
+    /// The latest crashes, at most as many as block the fingerprint.
+    pub crashes: Vec<CrashId>,
+    /// Number of blocks so far.
+    pub blocks: u8,
+    /// Time since the last crash, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl CrashRecord {
+    /// One crash that happened just now.
+    pub fn of_crash(fingerprint: &str, crash: CrashId) -> Self {
+        Self {
+            fingerprint: fingerprint.into(),
+            crashes: vec![crash],
+            blocks: 0,
+            age_ms: 0,
+        }
+    }
+}
+
+/// What [`CrashTable::merge`] changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MergeOutcome {
+    /// Whether the record held a crash or a block that the table didn't know.
+    pub is_new: bool,
+    /// Whether the fingerprint is blocked and wasn't before.
+    pub is_newly_blocked: bool,
+    /// Number of crashes that are known now, at most the threshold.
+    pub crashes: usize,
 }
 
 struct Entry {
+    /// The latest crashes, oldest first; at most the threshold.
+    crashes: Vec<CrashId>,
+    blocks: u8,
     last_crash: Instant,
     /// Makes the keys of entries with the same `last_crash` distinct in [`CrashTable::by_age`].
     sequence: u64,
-    first_report: CrashReport,
-    blocked_until: Option<Instant>,
 }
 
-/// Fingerprints of requests that crashed an upstream recently; a second crash blocks the fingerprint.
-#[derive(Default)]
+/// Fingerprints of requests that crashed upstreams recently.
 pub struct CrashTable {
+    policy: BlockPolicy,
     entries: HashMap<SmolStr, Entry>,
-    by_age: BTreeMap<(Instant, u64), SmolStr>,
+    /// Fingerprints by number of crashes less one, and by age. The fingerprint with the fewest crashes is
+    /// evicted first, so that requests that ended with a connection once don't displace a crashing one.
+    by_age: Vec<BTreeMap<(Instant, u64), SmolStr>>,
     sequence: u64,
 }
 
 impl CrashTable {
     /// A table without crashes.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(policy: BlockPolicy) -> Self {
+        Self {
+            policy,
+            entries: HashMap::new(),
+            by_age: vec![BTreeMap::new(); policy.threshold],
+            sequence: 0,
+        }
     }
 
-    /// Counts a crash; the second within [`CRASH_WINDOW`] blocks the fingerprint for [`BLOCK_TIME`].
-    pub fn record(&mut self, now: Instant, report: &CrashReport) {
+    /// Adds what another VM knows, or one crash; see [`CrashRecord::of_crash`].
+    pub fn merge(&mut self, now: Instant, record: &CrashRecord) -> MergeOutcome {
         self.expire(now);
-        let previous = self.remove(&report.fingerprint);
-        let (first_report, blocked_until) = match previous {
-            // The same report arrived again.
-            Some(entry) if entry.first_report == *report => {
-                self.insert(entry.last_crash, entry.first_report, entry.blocked_until);
-                return;
+        let age = Duration::from_millis(record.age_ms.into());
+        let at = now.checked_sub(age).unwrap_or(now);
+        if age >= CRASH_WINDOW || record.crashes.is_empty() {
+            return self.unchanged(&record.fingerprint);
+        }
+        let was_blocked = self.is_blocked(now, &record.fingerprint);
+        let mut entry = self.remove(&record.fingerprint).unwrap_or(Entry {
+            crashes: Vec::new(),
+            blocks: 0,
+            last_crash: at,
+            sequence: 0,
+        });
+        let unknown = record.crashes.iter().filter(|id| !entry.crashes.contains(id));
+        let unknown: Vec<CrashId> = unknown.copied().collect();
+        // A full entry has dropped its oldest crashes, so an unknown crash is new only if it is later.
+        let has_new_crash =
+            !unknown.is_empty() && (entry.crashes.len() < self.policy.threshold || at > entry.last_crash);
+        let is_new = has_new_crash || record.blocks > entry.blocks;
+        if has_new_crash {
+            let block_end = entry.last_crash + self.block_time(entry.blocks);
+            let is_after_block = entry.blocks > 0 && at >= block_end;
+            entry.crashes.extend(unknown);
+            let surplus = entry.crashes.len().saturating_sub(self.policy.threshold);
+            entry.crashes.drain(..surplus);
+            let is_first_block = entry.blocks == 0 && entry.crashes.len() == self.policy.threshold;
+            if is_first_block || is_after_block {
+                entry.blocks = entry.blocks.saturating_add(1);
             }
-            Some(entry) => (
-                entry.first_report,
-                Some(entry.blocked_until.unwrap_or(now + BLOCK_TIME)),
-            ),
-            None => (report.clone(), None),
-        };
-        self.insert(now, first_report, blocked_until);
+        }
+        if is_new {
+            entry.blocks = entry.blocks.max(record.blocks);
+            entry.last_crash = entry.last_crash.max(at);
+        }
+        let crashes = entry.crashes.len();
+        self.insert(record.fingerprint.clone(), entry);
+        MergeOutcome {
+            is_new,
+            is_newly_blocked: !was_blocked && self.is_blocked(now, &record.fingerprint),
+            crashes,
+        }
     }
 
     /// Whether requests with the fingerprint are refused.
     pub fn is_blocked(&self, now: Instant, fingerprint: &str) -> bool {
-        let entry = self.entries.get(fingerprint);
-        entry
-            .and_then(|e| e.blocked_until)
-            .is_some_and(|until| until > now)
+        self.entries
+            .get(fingerprint)
+            .is_some_and(|e| e.blocks > 0 && now < e.last_crash + self.block_time(e.blocks))
+    }
+
+    /// Forgets the crashes of a fingerprint; returns how many were known.
+    pub fn clear(&mut self, fingerprint: &str) -> Option<usize> {
+        self.remove(fingerprint).map(|e| e.crashes.len())
+    }
+
+    /// What is known of one fingerprint.
+    pub fn record(&self, now: Instant, fingerprint: &str) -> Option<CrashRecord> {
+        let entry = self.entries.get(fingerprint)?;
+        Some(entry.to_record(now, fingerprint))
+    }
+
+    /// What is known of all fingerprints with at least this many crashes, at least 1.
+    pub fn records(&self, now: Instant, min_crashes: usize) -> Vec<CrashRecord> {
+        let ranks = self.by_age.iter().skip(min_crashes.saturating_sub(1));
+        let fingerprints = ranks.flat_map(BTreeMap::values);
+        fingerprints.filter_map(|f| self.record(now, f)).collect()
     }
 
     /// Number of stored fingerprints.
@@ -99,40 +184,67 @@
         self.entries.is_empty()
     }
 
-    fn insert(&mut self, last_crash: Instant, first_report: CrashReport, blocked_until: Option<Instant>) {
-        if self.entries.len() >= MAX_FINGERPRINTS {
-            // Evicts the fingerprint whose last crash is oldest. Without a limit, a customer that crashes
-            // upstreams with ever new requests would use up the memory.
-            if let Some(oldest) = self.by_age.first_key_value().map(|(_, f)| f.clone()) {
-                self.remove(&oldest);
+    /// Length of a block by its number, which starts at 1.
+    fn block_time(&self, blocks: u8) -> Duration {
+        let doublings = u32::from(blocks.saturating_sub(1));
+        let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
+        self.policy.block_time.saturating_mul(factor).min(MAX_BLOCK_TIME)
+    }
+
+    fn unchanged(&self, fingerprint: &str) -> MergeOutcome {
+        MergeOutcome {
+            is_new: false,
+            is_newly_blocked: false,
+            crashes: self.entries.get(fingerprint).map_or(0, |e| e.crashes.len()),
+        }
+    }
+
+    fn insert(&mut self, fingerprint: SmolStr, mut entry: Entry) {
+        if self.entries.len() >= self.policy.capacity {
+            // Without a limit, a customer whose requests all end with their connections would use up the memory.
+            let fewest = self.by_age.iter().find_map(|rank| rank.values().next().cloned());
+            if let Some(fewest) = fewest {
+                self.remove(&fewest);
             }
         }
         self.sequence += 1;
-        let fingerprint = first_report.fingerprint.clone();
-        self.by_age
-            .insert((last_crash, self.sequence), fingerprint.clone());
-        let entry = Entry {
-            last_crash,
-            sequence: self.sequence,
-            first_report,
-            blocked_until,
-        };
+        entry.sequence = self.sequence;
+        self.by_age[entry.rank()].insert((entry.last_crash, entry.sequence), fingerprint.clone());
         self.entries.insert(fingerprint, entry);
     }
 
-    fn remove(&mut self, fingerprint: &SmolStr) -> Option<Entry> {
+    fn remove(&mut self, fingerprint: &str) -> Option<Entry> {
         let entry = self.entries.remove(fingerprint)?;
-        self.by_age.remove(&(entry.last_crash, entry.sequence));
+        self.by_age[entry.rank()].remove(&(entry.last_crash, entry.sequence));
         Some(entry)
     }
 
     fn expire(&mut self, now: Instant) {
-        while let Some(((last_crash, _), fingerprint)) = self.by_age.first_key_value() {
-            if *last_crash + CRASH_WINDOW.max(BLOCK_TIME) > now {
-                break;
+        for rank in &mut self.by_age {
+            while let Some(oldest) = rank.first_entry() {
+                let (last_crash, _) = oldest.key();
+                if *last_crash + CRASH_WINDOW > now {
+                    break;
+                }
+                self.entries.remove(&oldest.remove());
             }
-            let fingerprint = fingerprint.clone();
-            self.remove(&fingerprint);
+        }
+    }
+}
+
+impl Entry {
+    /// Index in [`CrashTable::by_age`].
+    fn rank(&self) -> usize {
+        self.crashes.len() - 1
+    }
+
+    fn to_record(&self, now: Instant, fingerprint: &str) -> CrashRecord {
+        let age = now.saturating_duration_since(self.last_crash).as_millis();
+        CrashRecord {
+            fingerprint: fingerprint.into(),
+            crashes: self.crashes.clone(),
+            blocks: self.blocks,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         }
     }
 }
