Keep crashes on the control VMs and tell every entry VM of suspects

Cause: a crash was an event, sent once to those that happened to be connected. An entry VM that started, was added or came back after a request was blocked knew nothing of it and sent it to upstreams again; what a VM saw while it had no control VM reached nobody. With VMs that restart in turn, each of them pays for itself.

Now crashes are state. A record holds the ids of the crashes of a fingerprint, and merging is idempotent in any order. An entry VM reports its crashes and, on each new connection, all that it knows; control VMs keep those of the whole fleet and exchange suspects when they connect; all entry VMs get suspects (two crashes), and new ones get them when they connect. So a block survives the restart of any entry VM, of any control VM, and of all control VMs at once.

On the wire: a new message, and a revision at the end of the heartbeat by which builds that don't have it get each crash as before. Older builds ignore bytes after the message they know.

Four tests are new: a control VM that restarts beside another one, builds of both revisions in both roles, a heartbeat without revision.

--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -131,6 +131,7 @@
             entries: Vec::new(),
             controls: Vec::new(),
             link: None,
+            control_revision: None,
             crashes: CrashTable::new(crash_policy::ENTRY),
             latencies: HashMap::new(),
             entry,
@@ -271,6 +272,8 @@
             let mut state = self.state.lock().unwrap();
             link.send(&state.hello());
             state.link = Some(link.clone());
+            // States the revision at once, so that the control VM sends its suspects before requests arrive.
+            state.send(&state.heartbeat());
         }
         info!("control VM connected: vm={vm}");
         let mut no_leader_since: Option<Instant> = None;
@@ -298,7 +301,9 @@
             }
         };
         link.close();
-        self.state.lock().unwrap().link = None;
+        let mut state = self.state.lock().unwrap();
+        state.link = None;
+        state.control_revision = None;
         reason
     }
 
@@ -312,7 +317,14 @@
     fn handle_frame(&self, now: Instant, frame: Frame) {
         let mut state = self.state.lock().unwrap();
         match frame {
-            Frame::Heartbeat { is_fresh: true, .. } => state.confirmed_at = Some(now),
+            Frame::Heartbeat {
+                is_fresh, revision, ..
+            } => {
+                if is_fresh {
+                    state.confirmed_at = Some(now);
+                }
+                state.set_control_revision(now, revision);
+            }
             Frame::Controls(controls) => state.controls = controls,
             Frame::Entries(entries) => state.entries = entries,
             Frame::Announcements { is_complete, reports } => {
@@ -383,6 +395,11 @@
             Frame::Crash { fingerprint } => {
                 state.merge_crashes(now, &CrashRecord::of_crash(&fingerprint, rand::random()));
             }
+            Frame::CrashRecords(records) => {
+                for record in &records {
+                    state.merge_crashes(now, record);
+                }
+            }
             _ => {}
         }
     }
@@ -435,11 +452,7 @@
 
     fn send_heartbeat(&self) {
         let state = self.state.lock().unwrap();
-        let version = state.view.version;
-        state.send(&Frame::Heartbeat {
-            is_fresh: true,
-            version,
-        });
+        state.send(&state.heartbeat());
     }
 
     /// Drops expired token grants and sends the token requests and spend reports that are due.
--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -8,7 +8,6 @@
 use async_std::task;
 use futures::channel::oneshot;
 use log::info;
-use smol_str::SmolStr;
 
 use super::CONFIG_FRESH_TIME;
 use super::ControlClient;
@@ -19,7 +18,6 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::fleet::health;
-use crate::fleet::message::Frame;
 use crate::fleet::retry_budget::Purpose;
 use crate::fleet::upstream_selector::Criteria;
 use crate::grant::SpendOutcome;
@@ -316,17 +314,10 @@
     }
 
     async fn report(&self, fingerprint: &str) {
+        let crash = CrashRecord::of_crash(fingerprint, rand::random());
         let mut state = self.shared.state.lock().unwrap();
-        let fingerprint = SmolStr::from(fingerprint);
-        if state.link.is_none() {
-            info!(
-                "crash not sent to the fleet: fingerprint={} reason=\"no control VM is connected\"",
-                quarantine::short(&fingerprint)
-            );
-        }
-        let crash = CrashRecord::of_crash(&fingerprint, rand::random());
         state.merge_crashes(Instant::now(), &crash);
-        state.send(&Frame::Crash { fingerprint });
+        state.send_crash(crash);
     }
 }
 
--- a/src/fleet/control_client/state.rs
+++ b/src/fleet/control_client/state.rs
@@ -18,6 +18,7 @@
 use crate::fleet::message::ControlVm;
 use crate::fleet::message::EntryVm;
 use crate::fleet::message::Frame;
+use crate::fleet::message::REVISION;
 use crate::fleet::retry_budget::Purpose;
 use crate::fleet::retry_budget::RetryBudget;
 use crate::fleet::upstream_selector::UpstreamSelector;
@@ -90,6 +91,8 @@
     pub(super) controls: Vec<ControlVm>,
     /// Connection to a control VM.
     pub(super) link: Option<Link>,
+    /// Revision of the messages of that control VM, from its first heartbeat on.
+    pub(super) control_revision: Option<u8>,
     /// Crashes of upstreams by the fingerprint of the request.
     pub(super) crashes: CrashTable,
     /// Latencies by route.
@@ -105,6 +108,14 @@
         }
     }
 
+    pub(super) fn heartbeat(&self) -> Frame {
+        Frame::Heartbeat {
+            is_fresh: true,
+            version: self.view.version,
+            revision: REVISION,
+        }
+    }
+
     /// Sends to the control VM, if one is connected.
     pub(super) fn send(&self, frame: &Frame) {
         if let Some(link) = &self.link {
@@ -209,6 +220,34 @@
         }
     }
 
+    /// Sends all known crashes when the control VM has stated its revision: it may have restarted, and reports
+    /// may have been lost with the connection before.
+    pub(super) fn set_control_revision(&mut self, now: Instant, revision: u8) {
+        if self.control_revision.replace(revision).is_some() || revision == 0 {
+            return;
+        }
+        let records = self.crashes.records(now, 1);
+        if !records.is_empty() {
+            info!("crashes sent to the control VM: records={}", records.len());
+            self.send(&Frame::CrashRecords(records));
+        }
+    }
+
+    /// Sends a crash to the control VM. One that happens while none is connected, or before its revision is
+    /// known, is sent by [`State::set_control_revision`].
+    pub(super) fn send_crash(&self, crash: CrashRecord) {
+        match self.control_revision {
+            None => info!(
+                "crash sent later: fingerprint={} reason=\"no control VM is connected\"",
+                quarantine::short(&crash.fingerprint)
+            ),
+            Some(0) => self.send(&Frame::Crash {
+                fingerprint: crash.fingerprint,
+            }),
+            Some(_) => self.send(&Frame::CrashRecords(vec![crash])),
+        }
+    }
+
     /// Adds what this VM or another one knows of the crashes that a request caused.
     pub(super) fn merge_crashes(&mut self, now: Instant, record: &CrashRecord) {
         let outcome = self.crashes.merge(now, record);
--- a/src/fleet/control_server.rs
+++ b/src/fleet/control_server.rs
@@ -47,6 +47,7 @@
 use crate::view::View;
 
 mod call;
+mod crashes;
 mod receive;
 mod state;
 mod tick;
--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -31,6 +31,7 @@
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::id::Version;
+use crate::quarantine::CrashRecord;
 use crate::replica::Role;
 use crate::view::View;
 
@@ -80,12 +81,15 @@
                 self.register_control(link, number, dialed, other);
                 *peer = Some(Peer::Control(vm));
             }
-            Frame::Heartbeat { version, .. } => {
+            Frame::Heartbeat {
+                version, revision, ..
+            } => {
                 if let Some(Peer::Entry(vm)) = peer
                     && let Some(entry) = self.state.lock().unwrap().entries.get_mut(vm)
                 {
                     entry.version = entry.version.max(version);
                 }
+                self.set_revision(peer.as_ref(), number, revision);
             }
             Frame::Replica(envelope) => {
                 if let Ok(replication) = self.replication() {
@@ -114,7 +118,11 @@
                     entry.link.send(&Frame::Grant { spender, grant });
                 }
             }
-            Frame::Crash { .. } => self.forward_crash(peer.as_ref(), &frame),
+            Frame::Crash { fingerprint } => {
+                let crash = CrashRecord::of_crash(&fingerprint, rand::random());
+                self.record_crashes(peer.as_ref(), vec![crash]);
+            }
+            Frame::CrashRecords(records) => self.record_crashes(peer.as_ref(), records),
             Frame::Propose { number, data } => {
                 let shared = Arc::clone(self);
                 spawn_reply(link, number, async move {
@@ -170,6 +178,7 @@
             link: link.clone(),
             number,
             version: version.max(view.map_or(0, |v| v.version)),
+            revision: None,
             in_flight: HashMap::new(),
             entry,
         };
@@ -209,6 +218,7 @@
             number,
             dialed,
             last_received: now,
+            revision: None,
             in_flight: HashMap::new(),
         };
         state.controls.insert(other.vm, peer);
@@ -342,18 +352,6 @@
         }
     }
 
-    /// Forwards a crash report: from an entry VM to all other VMs, from a control VM to the entry VMs
-    /// connected here.
-    pub(super) fn forward_crash(&self, from: Option<&Peer>, frame: &Frame) {
-        let state = self.state.lock().unwrap();
-        match from {
-            Some(Peer::Entry(vm)) => state.send_to_all(Some(vm), frame),
-            _ => {
-                state.send_to_entries(frame);
-            }
-        }
-    }
-
     /// Answers a token request, or forwards it to the leader if another VM leads.
     pub(super) fn answer_token_request(&self, link: &Link, request: TokenRequest) {
         let Ok(replication) = self.replication() else {
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -9,6 +9,7 @@
 use log::info;
 
 use super::TOKEN_SHARES;
+use crate::fleet::crash_policy;
 use crate::fleet::discovery::UpstreamTable;
 use crate::fleet::entry_vms::EntryVms;
 use crate::fleet::health::HealthUpdate;
@@ -29,6 +30,7 @@
 use crate::id::Version;
 use crate::id::VmName;
 use crate::lease::Lease;
+use crate::quarantine::CrashTable;
 use crate::replica::ReplicaStatus;
 use crate::replica::Role;
 
@@ -51,6 +53,8 @@
     pub(super) entry: EntryVm,
     /// Version of the configuration that it holds or was sent.
     pub(super) version: Version,
+    /// Revision of its messages, from its first heartbeat on.
+    pub(super) revision: Option<u8>,
     /// Its requests in flight, by upstream.
     pub(super) in_flight: HashMap<UpstreamId, u16>,
 }
@@ -64,6 +68,8 @@
     pub(super) dialed: bool,
     /// When the last message arrived.
     pub(super) last_received: Instant,
+    /// Revision of its messages, from its first heartbeat on.
+    pub(super) revision: Option<u8>,
     /// Requests in flight of the entry VMs that are connected to it, by upstream.
     pub(super) in_flight: HashMap<UpstreamId, u16>,
 }
@@ -122,6 +128,8 @@
     pub(super) pending_successes: HashMap<UpstreamId, PendingSuccesses>,
     /// When an entry VM connected here last reported a broken connection or cut answer of an upstream.
     pub(super) last_failures: HashMap<UpstreamId, Instant>,
+    /// Crashes of upstreams that the fleet reported, by fingerprint.
+    pub(super) crashes: CrashTable,
     /// Requests and retries of the fleet in the retry window.
     pub(super) usage: HashMap<ServiceId, Window>,
     /// Requests and retries of the entry VMs connected here since the last report to the other control VMs.
@@ -231,6 +239,7 @@
             leader_history: Default::default(),
             pending_calls: Default::default(),
             pending_successes: Default::default(),
+            crashes: CrashTable::new(crash_policy::CONTROL),
             usage: Default::default(),
             unsent_usage: Default::default(),
             report_periods: Default::default(),
--- a/src/fleet/control_server/tick.rs
+++ b/src/fleet/control_server/tick.rs
@@ -11,6 +11,7 @@
 use crate::fleet::health::HealthUpdate;
 use crate::fleet::link::Link;
 use crate::fleet::message::Frame;
+use crate::fleet::message::REVISION;
 use crate::fleet::retry_budget::Totals;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -105,7 +106,11 @@
         let mut state = self.state.lock().unwrap();
         state.update_lease(now, &status, self.excess);
         let is_fresh = status.leader.is_some() && status.is_current;
-        let heartbeat = Frame::Heartbeat { is_fresh, version: 0 };
+        let heartbeat = Frame::Heartbeat {
+            is_fresh,
+            version: 0,
+            revision: REVISION,
+        };
         state.send_to_all(None, &heartbeat);
     }
 
--- a/src/fleet/crash_policy.rs
+++ b/src/fleet/crash_policy.rs
@@ -12,9 +12,19 @@
 /// outage of its service is served again after this time.
 const BLOCK_TIME: Duration = Duration::from_secs(30);
 
-/// Policy of an entry VM; its records take about 1 MB at most.
+/// Crashes from which on all entry VMs are told of a request. Fewer would send a message to all VMs for each
+/// connection that breaks.
+pub(crate) const SUSPECT: usize = 2;
+
+/// Policy of an entry VM, which keeps the crashes that it saw itself and the suspects of the fleet; its records take about 1 MB at most.
 pub(crate) const ENTRY: BlockPolicy = BlockPolicy {
     threshold: THRESHOLD,
     block_time: BLOCK_TIME,
     capacity: 4_000,
 };
+
+/// Policy of a control VM, which keeps the crashes of the whole fleet; its records take about 5 MB at most.
+pub(crate) const CONTROL: BlockPolicy = BlockPolicy {
+    capacity: 20_000,
+    ..ENTRY
+};
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -1,11 +1,14 @@
 //! Messages between the processes of a fleet.
 //!
 //! They are sent in postcard form between processes of different builds, so variants and fields keep
-//! their order.
+//! their order. A field that is added goes to the end of a message, where older builds ignore it and newer ones
+//! fill in its default. A variant that is added goes to the end of [`Frame`] and is sent only to builds that
+//! state a [`REVISION`] which has it.
 
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use smol_str::SmolStr;
 
@@ -21,9 +24,13 @@
 use crate::id::UpstreamId;
 use crate::id::Version;
 use crate::id::VmName;
+use crate::quarantine::CrashRecord;
 use crate::replica::Envelope;
 use crate::view::View;
 
+/// Revision of the messages that this build understands. 1 adds [`Frame::CrashRecords`].
+pub const REVISION: u8 = 1;
+
 /// An entry VM as it is announced to other VMs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryVm {
@@ -87,6 +94,9 @@
         is_fresh: bool,
         /// From an entry VM: version of the configuration that it holds.
         version: Version,
+        /// [`REVISION`] of the sender; 0 from builds that state none.
+        #[serde(deserialize_with = "trailing_revision")]
+        revision: u8,
     },
     /// A message of the replicated log.
     Replica(Envelope),
@@ -128,7 +138,8 @@
         /// The answer.
         grant: Grant,
     },
-    /// The connection to an upstream broke while it ran a request, which may have crashed it.
+    /// The connection to an upstream broke while it ran a request, which may have crashed it. Sent to and by
+    /// builds that don't have [`Frame::CrashRecords`].
     Crash {
         /// Fingerprint of the request.
         fingerprint: SmolStr,
@@ -153,4 +164,13 @@
         /// Result of the call.
         outcome: CallOutcome,
     },
+    /// Crashes of upstreams by the requests that caused them. From an entry VM: those that it saw, and on a new
+    /// connection all that it knows; between control VMs: those reported by the entry VMs of the sender, and on a
+    /// new connection all suspects; to an entry VM: suspects.
+    CrashRecords(Vec<CrashRecord>),
+}
+
+/// Reads the last field of a message, which older builds don't send.
+fn trailing_revision<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u8, D::Error> {
+    Ok(u8::deserialize(deserializer).unwrap_or(0))
 }
--- a/tests/fleet/quarantine.rs
+++ b/tests/fleet/quarantine.rs
@@ -5,14 +5,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_std::future;
+use async_std::io::WriteExt;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
 use async_std::task;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use zinnialoom::component::Component;
 use zinnialoom::fleet::control_client::ControlClient;
 use zinnialoom::fleet::control_client::ControlClientSettings;
+use zinnialoom::fleet::link;
+use zinnialoom::fleet::link::Reader;
 use zinnialoom::fleet::message::ControlVm;
 use zinnialoom::fleet::message::EntryVm;
+use zinnialoom::fleet::message::Frame;
 use zinnialoom::fleet::process::ControlProcess;
 use zinnialoom::fleet::process::ControlProcessSettings;
 use zinnialoom::fleet::retry_budget::RetryBound;
@@ -37,7 +44,7 @@
     let settings = ControlProcessSettings {
         control: ControlVm {
             vm: seeds[n].clone(),
-            domain: "a".into(),
+            domain: format_smolstr!("{n}"),
         },
         address: seeds[n].parse().unwrap(),
         seeds: seeds.to_vec(),
@@ -63,11 +70,16 @@
 
 impl Vm {
     fn start(name: &str, seeds: &[SmolStr]) -> Self {
+        Self::start_in("0", name, seeds)
+    }
+
+    /// Starts an entry VM that prefers the control VM of its failure domain, which is named by its number.
+    fn start_in(domain: &str, name: &str, seeds: &[SmolStr]) -> Self {
         let timer = Timer::spawn();
         let settings = ControlClientSettings {
             entry: EntryVm {
                 vm: name.into(),
-                domain: "a".into(),
+                domain: domain.into(),
                 caller: SocketAddr::from(([127, 0, 0, 1], 1)),
                 is_ready: true,
             },
@@ -192,3 +204,114 @@
     second.stop().await;
     second_run.stop().await;
 }
+
+/// Guards against a control VM that restarts, knows no crashes and lets its entry VMs send a blocked request,
+/// although the other control VMs know it.
+#[async_std::test]
+async fn a_restarted_control_vm_learns_of_suspects_from_the_others() {
+    let folder = tempfile::tempdir().unwrap();
+    let seeds = seeds(2);
+    let stays = control(&seeds, 0, folder.path()).await;
+    let restarts = control(&seeds, 1, folder.path()).await;
+    let reporter = Vm::start_in("0", "e1", &seeds[..1]);
+    reporter.wait_entries(1).await;
+    reporter.report_crashes(CRASHES).await;
+    reporter.wait_blocked().await;
+    restarts.stop().await;
+    let restarted = control(&seeds, 1, folder.path()).await;
+    let other = Vm::start_in("1", "e2", &seeds[1..]);
+    other.wait_entries(2).await;
+    other.wait_blocked().await;
+    reporter.stop().await;
+    other.stop().await;
+    stays.stop().await;
+    restarted.stop().await;
+}
+
+/// The next message that tells of crashes.
+async fn next_crash(reader: &mut Reader) -> Frame {
+    loop {
+        let frame = future::timeout(NEWS_LIMIT, reader.next()).await;
+        let frame = frame.expect("no message on crashes").unwrap();
+        if matches!(frame, Frame::Crash { .. } | Frame::CrashRecords(_)) {
+            return frame;
+        }
+    }
+}
+
+fn heartbeat(revision: u8) -> Frame {
+    Frame::Heartbeat {
+        is_fresh: true,
+        version: 0,
+        revision,
+    }
+}
+
+/// Guards against messages that an older build can't read, which would end its connection with each crash: an
+/// entry VM of an older build gets each crash as before.
+#[async_std::test]
+async fn an_entry_vm_of_an_older_build_gets_each_crash() {
+    let folder = tempfile::tempdir().unwrap();
+    let seeds = seeds(1);
+    let control = control(&seeds, 0, folder.path()).await;
+    let (link, mut reader) = link::connect(seeds[0].parse().unwrap()).await.unwrap();
+    link.send(&Frame::Entry {
+        entry: EntryVm {
+            vm: "old".into(),
+            domain: "0".into(),
+            caller: SocketAddr::from(([127, 0, 0, 1], 1)),
+            is_ready: true,
+        },
+        version: 0,
+    });
+    link.send(&heartbeat(0));
+    let reporter = Vm::start("e1", &seeds);
+    reporter.wait_entries(2).await;
+    reporter.report_crashes(CRASHES).await;
+    for _ in 0..CRASHES {
+        let expected = Frame::Crash {
+            fingerprint: CRASHING.into(),
+        };
+        assert_eq!(next_crash(&mut reader).await, expected);
+        link.send(&heartbeat(0));
+    }
+    reporter.stop().await;
+    control.stop().await;
+}
+
+/// Guards against the same between an entry VM of this build and a control VM of an older one, and against an
+/// entry VM that no longer counts the crashes that such a control VM forwards.
+#[async_std::test]
+async fn a_control_vm_of_an_older_build_gets_each_crash() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seeds = [format_smolstr!("{}", listener.local_addr().unwrap())];
+    let vm = Vm::start("e1", &seeds);
+    let (stream, _) = listener.accept().await.unwrap();
+    let (link, mut reader) = link::spawn(stream);
+    link.send(&heartbeat(0));
+    task::sleep(Duration::from_millis(100)).await;
+    vm.report_crashes(1).await;
+    let crash = Frame::Crash {
+        fingerprint: CRASHING.into(),
+    };
+    assert_eq!(next_crash(&mut reader).await, crash);
+    for _ in 1..CRASHES {
+        link.send(&crash);
+    }
+    vm.wait_blocked().await;
+    vm.stop().await;
+}
+
+/// Guards against a heartbeat of an older build that can't be read because it lacks the revision.
+#[async_std::test]
+async fn a_heartbeat_without_a_revision_is_read() {
+    let mut bytes = link::encode(&heartbeat(7)).unwrap();
+    bytes.pop();
+    bytes[0] -= 1;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut sender = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    sender.write_all(&bytes).await.unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    let (_link, mut reader) = link::spawn(stream);
+    assert_eq!(reader.next().await.unwrap(), heartbeat(0));
+}
