Report the end of a reused connection as a possible crash

Besides, a request that may be repeated could lose two reused connections in a row and got 502.

Cause: an attempt on a reused connection that ended before the answer was `Stale` and never reported, because idle time may explain it.

Now it is reported, and the further attempts of that request use new connections, so an innocent one loses one idle connection at most and is then answered. A reused connection that takes no byte was not sent to, so it is no crash.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -179,9 +179,8 @@
     let Some(chosen) = flight.chosen.clone() else {
         return Err(Code::NoUpstream.into());
     };
-    // A reused connection may have been closed or lost unnoticed, and a request that is lost on it can only
-    // be repeated if it is idempotent. Other requests get a new connection, which costs about 1 ms.
-    let (outcome, timing) = match request.idempotent {
+    // A new connection costs about 1 ms.
+    let (outcome, timing) = match request.may_reuse() {
         true => send_reused(&shared, &request, &chosen, before_send).await,
         false => {
             send_on_connection(
@@ -333,7 +332,7 @@
     let written = write_request(&conn.stream, &bytes, request).await;
     match written {
         Written::All => {}
-        Written::Nothing if reused => return ConnectionOutcome::Stale,
+        Written::Nothing if reused && shared.stages.chooser.reconnects() => return ConnectionOutcome::Stale,
         Written::Nothing => {
             let detail = "the connection took no byte".into();
             return ConnectionOutcome::Done(Outcome::NotSent(AttemptResult::Refused, detail));
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -51,6 +51,8 @@
     /// Result of [`Self::compute_fingerprint`]; empty until it is set.
     pub(crate) fingerprint: String,
     caller_left: AtomicBool,
+    /// Whether attempts use new connections only.
+    fresh_only: AtomicBool,
     /// Whether an attempt has become overdue since the last call of [`Self::take_overdue`].
     overdue: AtomicBool,
     /// Attempts that were sent, without those that the upstream is known not to have run.
@@ -83,6 +85,7 @@
             deadline,
             fingerprint: String::new(),
             caller_left: AtomicBool::new(false),
+            fresh_only: AtomicBool::new(false),
             overdue: AtomicBool::new(false),
             sent: AtomicUsize::new(0),
         }
@@ -115,6 +118,18 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Records that a reused connection ended before the answer: on a new one, the end of a connection shows that
+    /// the request crashes its upstreams.
+    pub(crate) fn set_fresh_only(&self) {
+        self.fresh_only.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether attempts may use idle connections. An upstream may have closed one unnoticed, and a request that
+    /// is lost on it can only be repeated if it is idempotent.
+    pub(crate) fn may_reuse(&self) -> bool {
+        self.idempotent && !self.fresh_only.load(Ordering::Relaxed)
+    }
+
     /// Records that an attempt has taken longer than `Chooser::overdue_after`.
     pub(crate) fn set_overdue(&self) {
         self.overdue.store(true, Ordering::Relaxed);
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -375,7 +375,12 @@
     /// Reports a possible crash of the upstream if the connection died. The report precedes the answer, after
     /// which the caller may send the request again.
     async fn report_crash(&self, request: &AdmittedRequest, flight: &InFlight<S>, result: AttemptResult) {
-        let is_reported = result == AttemptResult::Died;
+        // A reused connection may also have ended because it was idle for too long; the next attempt, on a new
+        // connection, is answered then, and its answer counts against the crash.
+        let is_reported = matches!(result, AttemptResult::Died | AttemptResult::Stale);
+        if result == AttemptResult::Stale {
+            request.set_fresh_only();
+        }
         if matches!(
             result,
             AttemptResult::Died | AttemptResult::Cut | AttemptResult::Stale
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -12,6 +12,8 @@
 mod once;
 #[path = "path/overdue.rs"]
 mod overdue;
+#[path = "path/quarantine.rs"]
+mod quarantine;
 #[path = "path/queue.rs"]
 mod queue;
 #[allow(dead_code, reason = "flows are used by tests/endless.rs")]
--- a/tests/path/fakes.rs
+++ b/tests/path/fakes.rs
@@ -80,6 +80,8 @@
     pub blocked: AtomicBool,
     /// Number of calls of `Quarantine::report`.
     pub reports: AtomicUsize,
+    /// Answer of `Chooser::reconnects`.
+    pub reconnects: AtomicBool,
     pub reuse_timeout: Mutex<Duration>,
     pub overdue_after: Mutex<Option<Duration>>,
 }
@@ -170,6 +172,10 @@
             .is_ok()
     }
 
+    fn reconnects(&self) -> bool {
+        self.reconnects.load(Ordering::SeqCst)
+    }
+
     fn overdue_after(&self, _route: &Route) -> Option<Duration> {
         *self.overdue_after.lock().unwrap()
     }
@@ -282,6 +288,7 @@
             retries: AtomicUsize::new(100),
             blocked: AtomicBool::new(false),
             reports: AtomicUsize::new(0),
+            reconnects: AtomicBool::new(true),
             reuse_timeout: Mutex::new(Duration::from_millis(250)),
             overdue_after: Mutex::default(),
         });
--- /dev/null
+++ b/tests/path/quarantine.rs
@@ -0,0 +1,43 @@
+//! Requests that crash their upstreams: what the request path reports of them.
+
+use std::sync::atomic::Ordering;
+
+use crate::fakes::Entry;
+use crate::fakes::status;
+use crate::script::Line;
+use crate::script::OK;
+use crate::script::Script;
+use crate::script::Step::Answer;
+
+/// Ends its connection when it has read the second request.
+const CRASH_ON_SECOND: &[Line] = &[&[Answer(OK), Answer("")]];
+
+/// Guards against a request that crashes upstreams unnoticed because its connections were used before.
+#[async_std::test]
+async fn an_end_on_a_reused_connection_is_reported() {
+    let crashing = Script::start(CRASH_ON_SECOND).await;
+    let spare = Script::start(&[&[Answer(OK)]]).await;
+    let entry = Entry::start(&[crashing.address, spare.address]).await;
+    entry.fakes.reconnects.store(false, Ordering::SeqCst);
+    assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
+    assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
+    assert_eq!((crashing.requests(), spare.requests()), (2, 1));
+    assert_eq!(entry.fakes.reports.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against a request that is blocked because idle connections ended one after the other: after the first
+/// of them it gets a new one.
+#[async_std::test]
+async fn a_request_loses_one_reused_connection_at_most() {
+    static LINES: &[Line] = &[&[Answer(OK), Answer("")], &[Answer(OK)]];
+    let (first, second) = (Script::start(LINES).await, Script::start(LINES).await);
+    let entry = Entry::start(&[second.address]).await;
+    entry.fakes.reconnects.store(false, Ordering::SeqCst);
+    assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
+    *entry.fakes.upstreams.lock().unwrap() = vec![first.address];
+    assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
+    *entry.fakes.upstreams.lock().unwrap() = vec![first.address, second.address];
+    assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
+    assert_eq!(entry.fakes.reports.load(Ordering::SeqCst), 1);
+    assert_eq!((first.connections(), second.connections()), (1, 2));
+}
