Leave the route out of the fingerprint of a crashing request

Cause: the fingerprint held the name of the route. Now it holds the host instead; two hosts with the same path are still two requests.

While builds from before and after run side by side, each counts the crashes under its own fingerprint.

Evidence: path::quarantine::a_request_keeps_its_fingerprint_on_another_route failed before (2 fingerprints, 1 expected) and passes. Tests: path 61 passed.

--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -37,6 +37,8 @@
     /// Id from the caller's id header, sent to upstreams if the conventions say so; empty if it sent none.
     pub(crate) forwarded_id: RequestId,
     pub(crate) method: Method,
+    /// Host that the caller asked for, without port; empty if it named none.
+    host: SmolStr,
     /// Path and query, without keys.
     pub(crate) target: String,
     /// Headers that are forwarded to the upstream, without keys.
@@ -75,6 +77,7 @@
                 .map(|v| v.as_str().into())
                 .unwrap_or_default(),
             method: request.method(),
+            host: request.url().host_str().unwrap_or_default().into(),
             target: forward::target(request, key),
             headers: forward::headers(request, key, conventions),
             body,
@@ -100,11 +103,11 @@
         ])
     }
 
-    /// Digest of customer, route and content, by which the quarantine recognises a request that is sent
-    /// again; see section 5.3 of the design.
+    /// Digest of customer, host and content, by which the quarantine recognises a request that is sent again, also
+    /// after a change of its route; see section 5.3 of the design.
     pub(crate) fn compute_fingerprint(&self) -> String {
         let customer = self.customer.as_deref().unwrap_or_default();
-        let parts = [customer.as_bytes(), self.route.id.as_bytes()];
+        let parts = [customer.as_bytes(), self.host.as_bytes()];
         sha256(&[parts[0], parts[1], self.digest().as_bytes()]).into()
     }
 
--- a/tests/path/fakes.rs
+++ b/tests/path/fakes.rs
@@ -78,8 +78,8 @@
     pub retries: AtomicUsize,
     /// Answer of `Quarantine::is_blocked`.
     pub blocked: AtomicBool,
-    /// Number of calls of `Quarantine::report`.
-    pub reports: AtomicUsize,
+    /// Fingerprints passed to `Quarantine::report`.
+    pub reports: Mutex<Vec<String>>,
     /// Number of calls of `Quarantine::record_answer`.
     pub answers: AtomicUsize,
     /// Answer of `Chooser::reconnects`.
@@ -196,8 +196,8 @@
         self.answers.fetch_add(1, Ordering::SeqCst);
     }
 
-    async fn report(&self, _fingerprint: &str) {
-        self.reports.fetch_add(1, Ordering::SeqCst);
+    async fn report(&self, fingerprint: &str) {
+        self.reports.lock().unwrap().push(fingerprint.into());
     }
 }
 
@@ -293,7 +293,7 @@
             results: Mutex::default(),
             retries: AtomicUsize::new(100),
             blocked: AtomicBool::new(false),
-            reports: AtomicUsize::new(0),
+            reports: Mutex::default(),
             answers: AtomicUsize::new(0),
             reconnects: AtomicBool::new(true),
             reuse_timeout: Mutex::new(Duration::from_millis(250)),
--- a/tests/path/once.rs
+++ b/tests/path/once.rs
@@ -126,7 +126,7 @@
     let answer = entry.send_request("GET", "/forecast", "").await;
     assert_eq!(outcome(&answer).2, "unknown", "{answer}");
     assert_eq!(
-        entry.fakes.reports.load(Ordering::SeqCst),
+        entry.fakes.reports.lock().unwrap().len(),
         1,
         "the crash is reported"
     );
--- a/tests/path/quarantine.rs
+++ b/tests/path/quarantine.rs
@@ -1,8 +1,13 @@
 //! Requests that crash their upstreams: what the request path reports of them.
 
+use std::collections::HashSet;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use zinnialoom::view::View;
+
 use crate::fakes::Entry;
+use crate::fakes::request;
 use crate::fakes::status;
 use crate::script::Line;
 use crate::script::OK;
@@ -22,7 +27,7 @@
     assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
     assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
     assert_eq!((crashing.requests(), spare.requests()), (2, 1));
-    assert_eq!(entry.fakes.reports.load(Ordering::SeqCst), 1);
+    assert_eq!(entry.fakes.reports.lock().unwrap().len(), 1);
 }
 
 /// Guards against a request that is blocked because idle connections ended one after the other: after the first
@@ -38,7 +43,7 @@
     assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
     *entry.fakes.upstreams.lock().unwrap() = vec![first.address, second.address];
     assert_eq!(status(&entry.send_request("GET", "/forecast", "").await), 200);
-    assert_eq!(entry.fakes.reports.load(Ordering::SeqCst), 1);
+    assert_eq!(entry.fakes.reports.lock().unwrap().len(), 1);
     assert_eq!((first.connections(), second.connections()), (1, 2));
 }
 
@@ -57,3 +62,25 @@
     assert_eq!(status(&answer), 200);
     assert_eq!(entry.fakes.answers.load(Ordering::SeqCst), 1);
 }
+
+/// Guards against a request that crashes three more upstreams whenever a new configuration changes its route.
+#[async_std::test]
+async fn a_request_keeps_its_fingerprint_on_another_route() {
+    let script = Script::start(&[&[Answer("")]]).await;
+    let entry = Entry::start(&[script.address]).await;
+    entry
+        .send_request("POST", "/forecast", "content-length: 0\r\n")
+        .await;
+    let mut view = View::clone(&entry.fakes.view.lock().unwrap());
+    view.routes[0].id = "split".into();
+    *entry.fakes.view.lock().unwrap() = Arc::new(view);
+    for (host, count) in [("h", 1), ("other", 2)] {
+        let head = request("POST", "/forecast", "content-length: 0\r\nconnection: close\r\n");
+        entry
+            .send(head.replace("host: h", &format!("host: {host}")))
+            .await;
+        let reports = entry.fakes.reports.lock().unwrap().clone();
+        let distinct: HashSet<&String> = reports.iter().collect();
+        assert_eq!(distinct.len(), count, "host {host}: {reports:?}");
+    }
+}
