Keep the retry budget when control VMs restart

Callers and upstreams see, in a simulation: when all control VMs restart while half of the upstreams fail, the fleet makes up to 108 more retries in 10 s than the bound allows (364 of 48 VMs).

Cause: a control VM counts the fleet's requests and retries in a window that is empty after its start, and told the entry VMs these counts as those of the fleet. Each restart gave the fleet the fixed allowance once more.

Now a control VM tells no counts until it has counted for a whole window. Entry VMs forget the counts with the connection that brought them, instead of a second later, and keep the bound by their own counts. In the window after, the fixed allowance is withheld, as the fleet may have used it, and what it had overdrawn is made up for. Weighed: a second allowance for the time without counts (up to 29 retries over the bound on a fleet of 111 VMs); windows handed over between control VMs, which does not help when all restart.

--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -35,6 +35,7 @@
 use crate::fleet::message::EntryVm;
 use crate::fleet::message::Frame;
 use crate::fleet::retry_budget::RetryBound;
+use crate::fleet::retry_budget::RetryBudget;
 use crate::fleet::retry_budget::Totals;
 use crate::fleet::upstream_selector::UpstreamSelector;
 use crate::grant::Excess;
@@ -304,6 +305,7 @@
         let mut state = self.state.lock().unwrap();
         state.link = None;
         state.control_revision = None;
+        state.retry_budgets.values_mut().for_each(RetryBudget::lose_fleet);
         reason
     }
 
--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -343,8 +343,7 @@
         let now = Instant::now();
         let mut state = self.state.lock().unwrap();
         for (service, totals) in &usage {
-            let window = state.usage.entry(service.clone()).or_default();
-            window.add(now, self.retry_window, *totals);
+            state.usage.add(now, self.retry_window, service, *totals);
         }
         if matches!(from, Some(Peer::Entry(_))) {
             for (service, totals) in usage {
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -21,8 +21,8 @@
 use crate::fleet::message::ControlVm;
 use crate::fleet::message::EntryVm;
 use crate::fleet::message::Frame;
+use crate::fleet::retry_budget::FleetUsage;
 use crate::fleet::retry_budget::Totals;
-use crate::fleet::retry_budget::Window;
 use crate::grant::Excess;
 use crate::grant::Owner;
 use crate::id::ServiceId;
@@ -131,7 +131,7 @@
     /// Crashes of upstreams that the fleet reported, by fingerprint.
     pub(super) crashes: CrashTable,
     /// Requests and retries of the fleet in the retry window.
-    pub(super) usage: HashMap<ServiceId, Window>,
+    pub(super) usage: FleetUsage,
     /// Requests and retries of the entry VMs connected here since the last report to the other control VMs.
     pub(super) unsent_usage: HashMap<ServiceId, Totals>,
     /// Number of calls of `send_reports` so far.
@@ -240,7 +240,7 @@
             pending_calls: Default::default(),
             pending_successes: Default::default(),
             crashes: CrashTable::new(crash_policy::CONTROL),
-            usage: Default::default(),
+            usage: FleetUsage::new(Instant::now()),
             unsent_usage: Default::default(),
             report_periods: Default::default(),
             had_in_flight: Default::default(),
--- a/src/fleet/control_server/tick.rs
+++ b/src/fleet/control_server/tick.rs
@@ -57,18 +57,16 @@
         if state.report_periods % CONTROL_REPORT_PERIODS == 0 {
             self.report_to_controls(&mut state);
         }
-        let window = self.retry_window;
-        let totals = state
-            .usage
-            .iter_mut()
-            .map(|(id, w)| (id.clone(), w.totals(now, window)));
-        let totals = Frame::Usage(totals.collect());
+        let totals = state.usage.totals(now, self.retry_window);
         let mut all = state.own_in_flight();
         for (id, count) in state.controls.values().flat_map(|c| &c.in_flight) {
             *all.entry(id.clone()).or_default() += count;
         }
         let all = Frame::InFlight(all.into_iter().collect());
-        state.send_to_entries(&totals);
+        // Without totals, each entry VM keeps the bound by its own counts.
+        if let Some(totals) = totals {
+            state.send_to_entries(&Frame::Usage(totals));
+        }
         state.send_to_entries(&all);
     }
 
--- a/src/fleet/retry_budget.rs
+++ b/src/fleet/retry_budget.rs
@@ -2,8 +2,9 @@
 //!
 //! The bound holds over the whole fleet, in every window. VMs report their counts and receive those of
 //! the fleet; without recent counts of the fleet, each VM keeps the bound by itself: a ratio of its own
-//! requests, and its share of a fixed allowance.
+//! requests, and its share of a fixed allowance that is withheld for a window after the counts were lost.
 
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::ServiceId;
+
 /// Steps into which a window is divided; the counts of its oldest step expire together.
 const WINDOW_STEPS: u32 = 20;
 /// Share of the bound that is used. The rest is a margin, because the steps of the VMs and the windows of an
@@ -115,6 +118,43 @@
     }
 }
 
+/// Counts of the fleet at a control VM, by service.
+#[derive(Debug)]
+pub struct FleetUsage {
+    /// When this VM began to count.
+    since: Instant,
+    windows: HashMap<ServiceId, Window>,
+}
+
+impl FleetUsage {
+    /// No counts; the VM starts to count now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            windows: HashMap::new(),
+        }
+    }
+
+    /// Adds counts of a service.
+    pub fn add(&mut self, now: Instant, length: Duration, service: &ServiceId, counts: Totals) {
+        let window = self.windows.entry(service.clone()).or_default();
+        window.add(now, length, counts);
+    }
+
+    /// The counts in the window; `None` until this VM has counted for a whole one. With the counts since a
+    /// restart, the fleet would spend the fixed allowance again in the same window.
+    pub fn totals(&mut self, now: Instant, length: Duration) -> Option<Vec<(ServiceId, Totals)>> {
+        if now.saturating_duration_since(self.since) < length {
+            return None;
+        }
+        let totals = self
+            .windows
+            .iter_mut()
+            .map(|(service, window)| (service.clone(), window.totals(now, length)));
+        Some(totals.collect())
+    }
+}
+
 /// Retry budget of one service, by the counts of this VM and of the fleet.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
@@ -126,6 +166,8 @@
     unreported: Totals,
     /// Last reported counts of the fleet in the window of the bound, and when they arrived.
     fleet: Option<(Instant, Totals)>,
+    /// Whether the connection that brought them has ended.
+    is_fleet_lost: bool,
 }
 
 impl RetryBudget {
@@ -141,19 +183,17 @@
     /// Whether one more retry is within the share of the bound that its purpose may use.
     pub fn allows(&mut self, now: Instant, bound: &RetryBound, vms: usize, purpose: Purpose) -> bool {
         let share = purpose.share();
-        let recent_fleet = self
-            .fleet
-            .filter(|(at, _)| now.saturating_duration_since(*at) < FLEET_TOTALS_TTL);
-        let Some((_, fleet)) = recent_fleet else {
+        let Some(fleet) = self.recent_fleet(now) else {
             let own = self.window.totals(now, bound.window);
-            let allowed = f64::from(own.requests) * bound.ratio + bound.slack / vms.max(1) as f64;
-            return f64::from(own.repeats) + 1.0 <= allowed * USABLE_SHARE * share;
+            let slack = self.isolated_slack(now, bound) / vms.max(1) as f64;
+            let allowed = f64::from(own.requests) * bound.ratio * USABLE_SHARE + slack;
+            return f64::from(own.repeats) + 1.0 <= allowed * share;
         };
         let recent = self.recent.totals(now, RECENT_WINDOW);
         let recent_max = (f64::from(recent.requests) * RECENT_RATIO).max(RECENT_RETRIES_MIN);
-        let requests = f64::from(fleet.requests + self.unreported.requests);
+        let requests = fleet.requests + self.unreported.requests;
         let retries = f64::from(fleet.repeats + self.unreported.repeats);
-        let allowed = requests * bound.ratio * USABLE_SHARE + bound.slack * USABLE_SLACK_SHARE;
+        let allowed = fleet_allowance(requests, bound);
         retries + 1.0 <= allowed * share && f64::from(recent.repeats) + 1.0 <= recent_max
     }
 
@@ -170,6 +210,23 @@
         allowed
     }
 
+    fn recent_fleet(&self, now: Instant) -> Option<Totals> {
+        let (at, totals) = self.fleet.filter(|_| !self.is_fleet_lost)?;
+        (now.saturating_duration_since(at) < FLEET_TOTALS_TTL).then_some(totals)
+    }
+
+    /// Part of the fixed allowance that all VMs together may use without counts of the fleet. In the window after
+    /// they were lost it covers what the fleet had used and not reported, and retries beyond the allowance are
+    /// made up for.
+    fn isolated_slack(&self, now: Instant, bound: &RetryBound) -> f64 {
+        match self.fleet {
+            Some((at, fleet)) if now.saturating_duration_since(at) < bound.window + FLEET_TOTALS_TTL => {
+                (fleet_allowance(fleet.requests, bound) - f64::from(fleet.repeats)).min(0.0)
+            }
+            _ => bound.slack * USABLE_SHARE,
+        }
+    }
+
     fn add(&mut self, now: Instant, bound: &RetryBound, counts: Totals) {
         self.window.add(now, bound.window, counts);
         self.recent.add(now, RECENT_WINDOW, counts);
@@ -181,8 +238,19 @@
         std::mem::take(&mut self.unreported)
     }
 
+    /// Stops using the counts of the fleet, whose connection has ended.
+    pub fn lose_fleet(&mut self) {
+        self.is_fleet_lost = true;
+    }
+
     /// Sets the counts of the whole fleet in the window.
     pub fn set_fleet_totals(&mut self, now: Instant, totals: Totals) {
         self.fleet = Some((now, totals));
+        self.is_fleet_lost = false;
     }
 }
+
+/// Retries that the fleet may make for its requests in the window.
+fn fleet_allowance(requests: u32, bound: &RetryBound) -> f64 {
+    f64::from(requests) * bound.ratio * USABLE_SHARE + bound.slack * USABLE_SLACK_SHARE
+}
