Ask other VMs for the crashes they know when an entry VM starts

Upstreams saw, in a test: a request that two crashes had quarantined was sent to upstreams again by an entry VM that had restarted. With VMs that restart in turn, each sends the request until it has seen two crashes itself.

Now a VM that starts asks two other VMs for their records (`quarantine.records`) and merges them. Records have ids, so a report that arrives as well counts once. A VM of an older build does not know the call; another one is asked then, and after 30 s without two answers a line tells so.

Evidence: limit_services::a_vm_that_restarts_blocks_a_crashing_request failed before ("the condition did not hold within 3s") and passes. Tests: limit_services 6, limit_failpoints 8 passed.

--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -1,5 +1,7 @@
-//! Component that reports crashes of upstreams to all VMs of the fleet and counts the reports of others.
+//! Component that reports crashes of upstreams to all VMs of the fleet and counts the reports of others. A VM that
+//! starts asks others for the crashes that they know.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -13,6 +15,9 @@
 use futures::future::join_all;
 use jsonrpsee::RpcModule;
 use jsonrpsee::types::ErrorObjectOwned;
+use log::info;
+use log::warn;
+use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -24,6 +29,7 @@
 use crate::id::CrashId;
 use crate::id::Incarnation;
 use crate::id::VmName;
+use crate::job::Jobs;
 use crate::peers::Peers;
 use crate::quarantine::BlockPolicy;
 use crate::quarantine::CrashRecord;
@@ -39,6 +45,13 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest number of calls to one VM to deliver a report.
 const MAX_REPORT_TRIES: u32 = 3;
+/// Number of other VMs that a VM asks for their crashes when it starts; one of them may have just started itself.
+const FETCH_ANSWERS: usize = 2;
+/// Largest number of rounds in which they are asked, and the pause between two rounds.
+const MAX_FETCH_ROUNDS: u32 = 60;
+const FETCH_PAUSE: Duration = Duration::from_millis(500);
+/// Largest number of fingerprints in an answer to them; those with the most crashes come first.
+const MAX_FETCHED: usize = 5_000;
 
 /// Two crashes block a fingerprint; 20,000 fingerprints take about 4 MB.
 const POLICY: BlockPolicy = BlockPolicy {
@@ -82,10 +95,11 @@
 /// Quarantine of requests by the crashes that any VM of the fleet reports; see [`Quarantine`].
 pub struct FleetQuarantine<C> {
     inner: Arc<Inner<C>>,
+    jobs: Jobs,
 }
 
 impl<C: Config> FleetQuarantine<C> {
-    /// Creates the component with no recorded crashes.
+    /// Starts the component with no recorded crashes, and the task that asks other VMs for theirs.
     pub fn spawn(local_vm: VmName, incarnation: Incarnation, secret: Secret, config: Arc<C>) -> Self {
         let inner = Arc::new(Inner {
             local_vm,
@@ -95,13 +109,16 @@
             crashes: Mutex::new(CrashTable::new(POLICY)),
             next_number: AtomicU64::new(1),
         });
-        Self { inner }
+        let jobs = Jobs::default();
+        let fetcher = Arc::clone(&inner);
+        jobs.spawn(async move { fetcher.fetch_records().await });
+        Self { inner, jobs }
     }
 
-    /// Adds the method `quarantine.report`.
+    /// Adds the methods `quarantine.report` and `quarantine.records`.
     ///
     /// # Errors
-    /// `Kernel` if the method is already registered.
+    /// `Kernel` if a method is already registered.
     pub fn register(&self, module: &mut RpcModule<()>) -> Result<()> {
         let inner = Arc::clone(&self.inner);
         let added = module.register_method("quarantine.report", move |params, _, _| {
@@ -110,6 +127,14 @@
             Ok::<(), ErrorObjectOwned>(())
         });
         added.map_err(|e| Error::new(Code::Kernel, e.to_string()))?;
+        let inner = Arc::clone(&self.inner);
+        let added = module.register_method("quarantine.records", move |_, _, _| {
+            let mut records = inner.crashes.lock().unwrap().records(Instant::now(), 1);
+            records.reverse();
+            records.truncate(MAX_FETCHED);
+            Ok::<Vec<CrashRecord>, ErrorObjectOwned>(records)
+        });
+        added.map_err(|e| Error::new(Code::Kernel, e.to_string()))?;
         Ok(())
     }
 }
@@ -142,7 +167,9 @@
 impl<C: Config> Component for FleetQuarantine<C> {
     const NAME: &'static str = "quarantine";
 
-    async fn stop(&self) {}
+    async fn stop(&self) {
+        self.jobs.stop().await;
+    }
 }
 
 impl<C: Config> Inner<C> {
@@ -151,6 +178,37 @@
         self.crashes.lock().unwrap().merge(Instant::now(), &crash);
     }
 
+    /// Asks other VMs for the crashes that they know, until enough of them have answered.
+    async fn fetch_records(&self) {
+        let mut answered: HashSet<VmName> = HashSet::new();
+        for _ in 0..MAX_FETCH_ROUNDS {
+            let view = self.config.view();
+            let is_unasked = |vm: &&VmName| **vm != self.local_vm && !answered.contains(*vm);
+            let mut others: Vec<VmName> = view.vms.keys().filter(is_unasked).cloned().collect();
+            if answered.len() >= FETCH_ANSWERS || (others.is_empty() && !view.vms.is_empty()) {
+                return;
+            }
+            others.shuffle(&mut rand::rng());
+            for vm in others.into_iter().take(FETCH_ANSWERS - answered.len()) {
+                let call = self
+                    .peers
+                    .call(&view, &vm, "quarantine.records", &(), CALL_TIMEOUT);
+                let records: Result<Vec<CrashRecord>> = call.await;
+                // A VM that does not answer is asked again, or another one in its place.
+                let Ok(records) = records else { continue };
+                info!("crashes fetched: vm={vm} records={}", records.len());
+                let mut crashes = self.crashes.lock().unwrap();
+                for record in &records {
+                    crashes.merge(Instant::now(), record);
+                }
+                drop(crashes);
+                answered.insert(vm);
+            }
+            task::sleep(FETCH_PAUSE).await;
+        }
+        warn!("crashes of other VMs not fetched: answers={}", answered.len());
+    }
+
     async fn send_report(&self, vm: &VmName, report: &CrashReport) {
         for _ in 0..MAX_REPORT_TRIES {
             let view = self.config.view();
--- a/tests/limit_services.rs
+++ b/tests/limit_services.rs
@@ -3,15 +3,19 @@
 #[path = "support/local_fleet.rs"]
 mod local_fleet;
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use local_fleet::LocalVm;
 use local_fleet::customer;
+use local_fleet::fleet_secret;
 use local_fleet::start_fleet;
 use local_fleet::wait_until;
 use zinnialoom::claims::Ticket;
 use zinnialoom::code::Code;
+use zinnialoom::component::Component;
+use zinnialoom::crashes::FleetQuarantine;
 use zinnialoom::error::Result;
 use zinnialoom::lease::PARTITION_COUNT;
 use zinnialoom::stage::ClaimOutcome;
@@ -166,3 +170,18 @@
         assert!(!vm.quarantine.is_blocked("f", now + Duration::from_secs(601)));
     }
 }
+
+/// Guards against a VM that sends a blocked request to upstreams after it has restarted.
+#[async_std::test]
+async fn a_vm_that_restarts_blocks_a_crashing_request() {
+    let vms = start_fleet(3).await;
+    vms[0].quarantine.report("f").await;
+    vms[1].quarantine.report("f").await;
+    // A second run of the VM that reported last, which it no longer remembers.
+    let restarted = FleetQuarantine::spawn("vm1".into(), 2, fleet_secret(), Arc::clone(&vms[1].config));
+    wait_until(Duration::from_secs(3), || {
+        restarted.is_blocked("f", Instant::now())
+    })
+    .await;
+    restarted.stop().await;
+}
--- a/tests/support/local_fleet.rs
+++ b/tests/support/local_fleet.rs
@@ -47,6 +47,8 @@
 
 /// One VM, served on loopback.
 pub struct LocalVm {
+    #[allow(dead_code, reason = "used by tests/limit_services.rs")]
+    pub config: Arc<FixedConfig>,
     pub limits: FleetLimits<FixedConfig, FixedMembers>,
     pub claims: FleetClaims<FixedConfig>,
     pub quarantine: FleetQuarantine<FixedConfig>,
@@ -94,9 +96,13 @@
         .collect()
 }
 
+pub fn fleet_secret() -> Secret {
+    Secret::new("a secret of the test fleet")
+}
+
 fn start_vm(n: usize, listener: TcpListener, view: &Arc<View>) -> LocalVm {
     let name = VmName::from(format!("vm{n}"));
-    let secret = Secret::new("a secret of the test fleet");
+    let secret = fleet_secret();
     let config = Arc::new(FixedConfig(Mutex::new(Arc::clone(view))));
     let members = Arc::new(FixedMembers(view.vms.keys().cloned().collect()));
     let timer = Timer::spawn();
@@ -109,7 +115,7 @@
         &timer,
     );
     let claims = FleetClaims::spawn(name.clone(), 1, true, secret.clone(), Arc::clone(&config), &timer);
-    let quarantine = FleetQuarantine::spawn(name, 1, secret.clone(), config);
+    let quarantine = FleetQuarantine::spawn(name, 1, secret.clone(), Arc::clone(&config));
     let mut module = RpcModule::new(());
     limits.register(&mut module).unwrap();
     claims.register(&mut module).unwrap();
@@ -129,6 +135,7 @@
         }
     });
     LocalVm {
+        config,
         limits,
         claims,
         quarantine,
