Send a changed list of entry VMs to those that just connected

Cause: a control VM sends the list when it differs from the one that it sent before. A VM that connected while another one moved from one control VM to another got a list without it, on its own; 200 ms later the complete list equalled the one sent before, so it was not sent again.

Now all connected VMs hold the same list: one that connects gets the list that all get, and if that has changed, all get it at that moment.

--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -173,7 +173,9 @@
             is_complete: true,
             reports,
         });
-        link.send(&Frame::Entries(state.entry_vms.all()));
+        // All connected VMs get the list that this one gets, so that the next change reaches all of them.
+        state.send_entry_list();
+        link.send(&Frame::Entries(state.sent_entries.clone()));
         if let Some(view) = &view {
             self.send_config(link, version, view);
         }
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -140,7 +140,7 @@
     pub(super) had_in_flight: bool,
     /// Configuration version that was last sent to the entry VMs.
     pub(super) pushed_version: Version,
-    /// The list of all entry VMs that was last sent to the entry VMs.
+    /// The list of all entry VMs that each entry VM connected here was sent last.
     pub(super) sent_entries: Vec<EntryVm>,
 }
 
@@ -263,6 +263,16 @@
 }
 
 impl State {
+    /// Sends the list of all entry VMs to those connected here, unless they have it.
+    pub(super) fn send_entry_list(&mut self) {
+        let all = self.entry_vms.all();
+        if all != self.sent_entries {
+            let frame = Frame::Entries(all.clone());
+            self.send_to_entries(&frame);
+            self.sent_entries = all;
+        }
+    }
+
     /// Sends to all control VMs.
     pub(super) fn send_to_controls(&self, frame: &Frame) {
         send_encoded(frame, self.controls.values().map(|p| &p.link));
--- a/src/fleet/control_server/tick.rs
+++ b/src/fleet/control_server/tick.rs
@@ -128,11 +128,6 @@
             let frame = Frame::Entries(own);
             state.send_to_controls(&frame);
         }
-        let all = state.entry_vms.all();
-        if all != state.sent_entries {
-            let frame = Frame::Entries(all.clone());
-            state.send_to_entries(&frame);
-            state.sent_entries = all;
-        }
+        state.send_entry_list();
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,6 +7,8 @@
 mod discovery;
 #[path = "fleet/edition.rs"]
 mod edition;
+#[path = "fleet/entry_list.rs"]
+mod entry_list;
 #[path = "fleet/entry_vms.rs"]
 mod entry_vms;
 #[path = "fleet/group.rs"]
