Queue a message for each replica of a VM

Cause: after the loss, the former replica of the VM is still a voter and the new one a learner, at one address. The leader sends entries to both in the same step, the former one first, and the queue of large messages to a VM has one place. The message to the new one was dropped each time, and both are repeated at the same pace, so for ever. Why the existing test of a new disk passes all the same was not looked into.

Now the queue has a place for each of the two.

--- a/src/replication.rs
+++ b/src/replication.rs
@@ -63,8 +63,9 @@
 /// next.
 const MAX_SMALL_CALLS: usize = 3;
 /// Capacity of the queue of messages with entries or parts of snapshots to one peer. The replica repeats a
-/// message that is not answered, so one is enough.
-const LARGE_QUEUE_LENGTH: usize = 1;
+/// message that is not answered, so one is enough for each replica on the peer: after a loss of its disk, the
+/// former one and the new one are members until the new one has caught up.
+const LARGE_QUEUE_LENGTH: usize = 2;
 /// Concurrent calls with entries or parts of snapshots to one peer: one can be stuck on a connection that no
 /// longer responds.
 const MAX_LARGE_CALLS: usize = 2;
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -88,6 +88,32 @@
     }
 }
 
+/// A replica on a new disk could stay without any entry, because the messages to the former replica of its VM, which
+/// the leader sends first, took all places in the queue.
+#[async_std::test]
+async fn a_new_disk_gets_entries_beside_its_former_replica() {
+    let group = Group::new(3);
+    let mut vms = group.start_all().await;
+    for n in 0..5 {
+        propose(&vms.iter().collect::<Vec<_>>(), &format!("{n}")).await;
+    }
+    wait_for("one leader", || leader(&vms).is_some()).await;
+    let lost = (leader(&vms).unwrap() + 1) % 3;
+    vms.remove(lost).stop().await;
+    fs::remove_dir_all(group.data_path(lost)).unwrap();
+    // The leader gives up on the former replica and sends to it at its own pace.
+    task::sleep(4 * ELECTION_TIMEOUT).await;
+    vms.insert(lost, group.start(lost).await);
+    wait_for("equal states", || applied(&vms[lost]).len() == 5).await;
+    wait_for("three voters", || {
+        vms[lost].replication.status().membership.voters.len() == 3
+    })
+    .await;
+    for vm in vms {
+        vm.stop().await;
+    }
+}
+
 /// A replica that needs a snapshot larger than one message could fail to catch up.
 #[async_std::test]
 async fn a_replica_that_missed_thousands_of_changes_catches_up() {
