--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -53,7 +53,7 @@
 /// Largest number of fingerprints in an answer to them; those with the most crashes come first.
 const MAX_FETCHED: usize = 5_000;
 
-/// Two crashes block a fingerprint; 20,000 fingerprints take about 4 MB.
+/// Two crashes block a fingerprint; 20,000 fingerprints take about 8 MB.
 const POLICY: BlockPolicy = BlockPolicy {
     threshold: 2,
     block_time: MAX_BLOCK_TIME,
--- a/src/fleet/crash_policy.rs
+++ b/src/fleet/crash_policy.rs
@@ -16,14 +16,15 @@
 /// connection that breaks.
 pub(crate) const SUSPECT: usize = 2;
 
-/// Policy of an entry VM, which keeps the crashes that it saw itself and the suspects of the fleet; its records take about 1 MB at most.
+/// Policy of an entry VM, which keeps the crashes that it saw itself and the suspects of the fleet; its records
+/// take about 1.6 MB at most.
 pub(crate) const ENTRY: BlockPolicy = BlockPolicy {
     threshold: THRESHOLD,
     block_time: BLOCK_TIME,
     capacity: 4_000,
 };
 
-/// Policy of a control VM, which keeps the crashes of the whole fleet; its records take about 5 MB at most.
+/// Policy of a control VM, which keeps the crashes of the whole fleet; its records take about 8 MB at most.
 pub(crate) const CONTROL: BlockPolicy = BlockPolicy {
     capacity: 20_000,
     ..ENTRY
