Split the merge of crash records and name the end of a connection

Names and a split only: add_new_crashes leaves merge, RetryBudget::disconnect says what happened instead of lose_fleet, and the attempt, not the report, decides that the next one uses a new connection.

--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -305,7 +305,7 @@
         let mut state = self.state.lock().unwrap();
         state.link = None;
         state.control_revision = None;
-        state.retry_budgets.values_mut().for_each(RetryBudget::lose_fleet);
+        state.retry_budgets.values_mut().for_each(RetryBudget::disconnect);
         reason
     }
 
--- a/src/fleet/control_server/crashes.rs
+++ b/src/fleet/control_server/crashes.rs
@@ -1,5 +1,5 @@
-//! Crashes of upstreams by the requests that caused them. The control VMs count those of the whole fleet, and tell
-//! the entry VMs of suspects.
+//! Crashes of upstreams by the requests that caused them. The control VMs count those of the whole fleet, and send
+//! suspects to the entry VMs.
 
 use std::time::Instant;
 
@@ -42,7 +42,7 @@
     }
 
     /// Counts crashes. New ones that an entry VM reports go to the other control VMs, and all entry VMs connected
-    /// here are told of new suspects.
+    /// here get new suspects.
     pub(super) fn record_crashes(&self, from: Option<&Peer>, records: Vec<CrashRecord>) {
         let now = Instant::now();
         let mut state = self.state.lock().unwrap();
--- a/src/fleet/crash_policy.rs
+++ b/src/fleet/crash_policy.rs
@@ -12,8 +12,8 @@
 /// outage of its service is served again after this time.
 const BLOCK_TIME: Duration = Duration::from_secs(30);
 
-/// Crashes from which on all entry VMs are told of a request. Fewer would send a message to all VMs for each
-/// connection that breaks.
+/// Crashes after which a request is a suspect, whose record all entry VMs get. Fewer would send a message to all
+/// VMs for each connection that breaks.
 pub(crate) const SUSPECT: usize = 2;
 
 /// Policy of an entry VM, which keeps the crashes that it saw itself and the suspects of the fleet; its records
--- a/src/fleet/retry_budget.rs
+++ b/src/fleet/retry_budget.rs
@@ -167,7 +167,7 @@
     /// Last reported counts of the fleet in the window of the bound, and when they arrived.
     fleet: Option<(Instant, Totals)>,
     /// Whether the connection that brought them has ended.
-    is_fleet_lost: bool,
+    is_disconnected: bool,
 }
 
 impl RetryBudget {
@@ -211,7 +211,7 @@
     }
 
     fn recent_fleet(&self, now: Instant) -> Option<Totals> {
-        let (at, totals) = self.fleet.filter(|_| !self.is_fleet_lost)?;
+        let (at, totals) = self.fleet.filter(|_| !self.is_disconnected)?;
         (now.saturating_duration_since(at) < FLEET_TOTALS_TTL).then_some(totals)
     }
 
@@ -239,14 +239,14 @@
     }
 
     /// Stops using the counts of the fleet, whose connection has ended.
-    pub fn lose_fleet(&mut self) {
-        self.is_fleet_lost = true;
+    pub fn disconnect(&mut self) {
+        self.is_disconnected = true;
     }
 
     /// Sets the counts of the whole fleet in the window.
     pub fn set_fleet_totals(&mut self, now: Instant, totals: Totals) {
         self.fleet = Some((now, totals));
-        self.is_fleet_lost = false;
+        self.is_disconnected = false;
     }
 }
 
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -296,6 +296,9 @@
     ) -> Ended<S> {
         let outcome = attempt::attempt(&mut flight, &|| self.check_send(request, ticket)).await;
         if let Ok(Outcome::Unknown(result, _)) = &outcome {
+            if *result == AttemptResult::Stale {
+                request.set_fresh_only();
+            }
             self.report_crash(request, &flight, *result).await;
         }
         (flight, outcome)
@@ -381,9 +384,6 @@
         // A reused connection may also have ended because it was idle for too long; the next attempt, on a new
         // connection, is answered then, and its answer counts against the crash.
         let is_reported = matches!(result, AttemptResult::Died | AttemptResult::Stale);
-        if result == AttemptResult::Stale {
-            request.set_fresh_only();
-        }
         if matches!(
             result,
             AttemptResult::Died | AttemptResult::Cut | AttemptResult::Stale
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -119,23 +119,8 @@
             last_crash: at,
             sequence: 0,
         });
-        let unknown = record.crashes.iter().filter(|id| !entry.crashes.contains(id));
-        let unknown: Vec<CrashId> = unknown.copied().collect();
-        // A full entry has dropped its oldest crashes, so an unknown crash is new only if it is later.
-        let has_new_crash =
-            !unknown.is_empty() && (entry.crashes.len() < self.policy.threshold || at > entry.last_crash);
+        let has_new_crash = self.add_new_crashes(&mut entry, record, at);
         let is_new = has_new_crash || record.blocks > entry.blocks;
-        if has_new_crash {
-            let block_end = entry.last_crash + self.block_time(entry.blocks);
-            let is_after_block = entry.blocks > 0 && at >= block_end;
-            entry.crashes.extend(unknown);
-            let surplus = entry.crashes.len().saturating_sub(self.policy.threshold);
-            entry.crashes.drain(..surplus);
-            let is_first_block = entry.blocks == 0 && entry.crashes.len() == self.policy.threshold;
-            if is_first_block || is_after_block {
-                entry.blocks = entry.blocks.saturating_add(1);
-            }
-        }
         if is_new {
             entry.blocks = entry.blocks.max(record.blocks);
             entry.last_crash = entry.last_crash.max(at);
@@ -149,6 +134,28 @@
         }
     }
 
+    /// Adds the crashes of a record that are not known, of which the last was at `at`, and begins a block if they
+    /// call for it; false if there are none.
+    fn add_new_crashes(&self, entry: &mut Entry, record: &CrashRecord, at: Instant) -> bool {
+        let unknown = record.crashes.iter().filter(|id| !entry.crashes.contains(id));
+        let unknown: Vec<CrashId> = unknown.copied().collect();
+        // A full entry has dropped its oldest crashes, so an unknown crash is new only if it is later.
+        let is_full = entry.crashes.len() >= self.policy.threshold;
+        if unknown.is_empty() || (is_full && at <= entry.last_crash) {
+            return false;
+        }
+        entry.crashes.extend(unknown);
+        let surplus = entry.crashes.len().saturating_sub(self.policy.threshold);
+        entry.crashes.drain(..surplus);
+        let block_end = entry.last_crash + self.block_time(entry.blocks);
+        let begins_block = match entry.blocks {
+            0 => entry.crashes.len() == self.policy.threshold,
+            _ => at >= block_end,
+        };
+        entry.blocks = entry.blocks.saturating_add(u8::from(begins_block));
+        true
+    }
+
     /// Whether requests with the fingerprint are refused.
     pub fn is_blocked(&self, now: Instant, fingerprint: &str) -> bool {
         self.entries
--- a/tests/fleet/retry_budget.rs
+++ b/tests/fleet/retry_budget.rs
@@ -70,7 +70,7 @@
         if restarts.next_if(|at| *at <= now).is_some() {
             fleet = FleetUsage::new(now);
             reports.clear();
-            vms.iter_mut().for_each(RetryBudget::lose_fleet);
+            vms.iter_mut().for_each(RetryBudget::disconnect);
         }
         let vm = rng.random_range(0..count);
         vms[vm].count_request(now, &bound);
