Spread requests that run once over the upstreams of a service that nothing else tests

Cause: only first attempts of idempotent requests test an upstream. Where a service has none, an upstream that failed once stays suspect for 15 s and then unknown for good, because unknown ones come after all healthy ones, and the cost of staleness draws the requests to the few with the latest success. These fill up to twice their slots, their answers become late, which makes them suspect in turn.

Now: while a VM sees no idempotent request of a service for 10 s, requests that run once go to all upstreams that are not suspect, the cost of staleness is bounded, and suspect ones are tested by single requests, paced over the fleet: one VM after the other may start one, at a rate that does not depend on the number of VMs, and none while an earlier one has no result. When all upstreams are suspect, a VM now draws among a few instead of taking the one with the oldest failure, which was the same for the whole fleet.

Tests: a_non_idempotent_request_goes_to_a_healthy_upstream and a_non_idempotent_request_prefers_the_latest_success now send an idempotent request first, as their claims hold where such requests test the others; their bounds are the same.

--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -155,6 +155,7 @@
             may_test: budget.allows(now, &self.shared.retry_bound, vms, Purpose::Test),
             service: request.service,
             tried: request.tried,
+            vms: state.entries.len(),
         };
         let choice = state
             .selector
--- a/src/fleet/discovery.rs
+++ b/src/fleet/discovery.rs
@@ -2,6 +2,7 @@
 //!
 //! The latest report of each upstream counts. Reports can arrive repeated and out of order.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -88,7 +89,8 @@
 /// The upstreams of all services.
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
-    all: HashMap<UpstreamId, ListedUpstream>,
+    /// Ordered, so that a choice with a given seed is the same in every process.
+    all: BTreeMap<UpstreamId, ListedUpstream>,
     by_address: HashMap<SocketAddr, UpstreamId>,
 }
 
@@ -189,7 +191,7 @@
         self.all.get(id)
     }
 
-    /// All upstreams, in no order.
+    /// All upstreams, by their names.
     pub fn iter(&self) -> impl Iterator<Item = &ListedUpstream> {
         self.all.values()
     }
--- a/src/fleet/upstream_selector.rs
+++ b/src/fleet/upstream_selector.rs
@@ -2,7 +2,9 @@
 //!
 //! Non-idempotent requests, and all attempts after the first, go to a healthy upstream if there is one.
 //! Two in five first attempts of idempotent requests test an upstream whose health is unknown or suspect, if
-//! one is due for a test.
+//! one is due for a test. In a service without idempotent requests, the others are spread over all upstreams
+//! that are not suspect, and a few of them, paced over the fleet, test the suspect ones: otherwise the healthy
+//! upstreams would become ever fewer and busier.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -56,6 +58,22 @@
 /// whose gray failure has just begun is lost, so fewer are lost if they go to few upstreams that are used
 /// often.
 const STALENESS_COST_PER_S: f32 = 0.5;
+/// A service that got no idempotent request at this VM for this long has none that test its upstreams. Longer
+/// than the pauses between those of a VM with little traffic.
+const IDEMPOTENT_RECENT: Duration = Duration::from_secs(10);
+/// In a service without such tests, age of the last success from which the cost of staleness no longer grows. Beyond it, requests that must not
+/// test would queue at a few upstreams while others, whose successes have only aged, are idle.
+const STALENESS_MAX: Duration = Duration::from_secs(1);
+/// Time without results after which a suspect upstream of such a service is tested by a non-idempotent request.
+const RETEST_AFTER: Duration = Duration::from_millis(1_500);
+/// The same after a second failure in a row. Gray failures last for many seconds, and each test of one may lose
+/// a request.
+const RETEST_AFTER_FAILURES: Duration = Duration::from_secs(2);
+/// The same after a success, when the upstream has probably recovered.
+const RETEST_AFTER_SUCCESS: Duration = Duration::from_millis(200);
+/// Mean time until one VM of the fleet starts such a test, and between two of them while none has a result. About
+/// as long as the reports of requests in flight take, which keep the other VMs from a second test.
+const RETEST_SPACING: Duration = Duration::from_millis(250);
 /// Cost of an upstream that is slow after its start.
 const COLD_START_COST: f32 = 0.5;
 /// Number of random upstreams that are compared for a request.
@@ -74,6 +92,19 @@
     pub max_load: f32,
     /// Upstreams that earlier attempts of this request used.
     pub tried: &'a [UpstreamId],
+    /// Number of entry VMs, which share the tests by non-idempotent requests.
+    pub vms: usize,
+}
+
+/// What a request may reveal about its upstream, and whether others do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// It may run twice, so it may test an upstream.
+    Idempotent,
+    /// It may run once, and idempotent requests test the upstreams of its service.
+    NonIdempotent,
+    /// It may run once, and no other requests test the upstreams.
+    Untested,
 }
 
 /// The selected upstream and why it was selected.
@@ -92,6 +123,7 @@
 struct LocalState {
     in_flight: u32,
     tested_at: Option<Instant>,
+    retest: Option<Retest>,
     paused_until: Option<Instant>,
     /// Consecutive connections that could not be made.
     refusals: u32,
@@ -100,6 +132,18 @@
     unanswered_at: Option<Instant>,
 }
 
+/// State of the tests of a suspect upstream by non-idempotent requests of this VM.
+#[derive(Debug, Clone, Copy)]
+struct Retest {
+    /// The last result of the fleet, to which the other fields refer.
+    updated: Instant,
+    /// Until when this VM has decided whether to test.
+    decided: Instant,
+    /// Least load since that result: requests that the upstream holds without an answer. A higher load is a
+    /// test.
+    held_load: f32,
+}
+
 /// Selects upstreams by the fleet's health records and by what this VM observed itself.
 #[derive(Debug)]
 pub struct UpstreamSelector {
@@ -107,6 +151,8 @@
     locals: HashMap<UpstreamId, LocalState>,
     /// Requests in flight from the other VMs, as last reported.
     remote_in_flight: HashMap<UpstreamId, f32>,
+    /// When this VM last chose an upstream for an idempotent request, by service.
+    idempotent_at: HashMap<ServiceId, Instant>,
     rng: StdRng,
 }
 
@@ -117,6 +163,7 @@
             domain,
             locals: HashMap::new(),
             remote_in_flight: HashMap::new(),
+            idempotent_at: HashMap::new(),
             rng,
         }
     }
@@ -147,6 +194,14 @@
         // Pauses only redirect requests: if all upstreams are paused, the request uses one all the same.
         let candidates = if unpaused.is_empty() { listed } else { unpaused };
         let health = |l: &ListedUpstream| table.health(now, &l.report.upstream);
+        if criteria.idempotent {
+            self.idempotent_at.insert(criteria.service.clone(), now);
+        }
+        let kind = match (criteria.idempotent, self.has_idempotent(now, criteria.service)) {
+            (true, _) => Kind::Idempotent,
+            (false, true) => Kind::NonIdempotent,
+            (false, false) => Kind::Untested,
+        };
         let is_first_idempotent = criteria.idempotent && criteria.tried.is_empty();
         if is_first_idempotent && self.rng.random_bool(TEST_SHARE) {
             let due_for_test: Vec<&ListedUpstream> = candidates
@@ -160,12 +215,22 @@
                 return Ok(self.assign(now, chosen, health(chosen), true));
             }
         }
+        if kind == Kind::Untested
+            && criteria.tried.is_empty()
+            && let Some(chosen) = self.due_for_retest(now, table, &candidates, criteria.vms)
+        {
+            return Ok(self.assign(now, chosen, Health::Suspect, true));
+        }
         let mut full = false;
-        for tier_health in [Health::Healthy, Health::Unknown, Health::Suspect] {
+        let tiers: &[&[Health]] = match kind {
+            Kind::Untested => &[&[Health::Healthy, Health::Unknown], &[Health::Suspect]],
+            _ => &[&[Health::Healthy], &[Health::Unknown], &[Health::Suspect]],
+        };
+        for tier_health in tiers {
             let tier: Vec<&ListedUpstream> = candidates
                 .iter()
                 .copied()
-                .filter(|l| health(l) == tier_health)
+                .filter(|l| tier_health.contains(&health(l)))
                 .collect();
             let free: Vec<&ListedUpstream> = tier
                 .iter()
@@ -173,15 +238,12 @@
                 .filter(|l| self.load(l) < criteria.max_load)
                 .collect();
             full |= free.len() < tier.len();
-            // The suspect upstream whose last failure is longest ago is the most likely to have recovered.
             let chosen = match tier_health {
-                Health::Suspect => free
-                    .into_iter()
-                    .min_by_key(|l| (table.failed_at(&l.report.upstream), l.report.upstream.clone())),
-                _ => self.lowest_cost(now, table, &free, criteria.idempotent),
+                [Health::Suspect] => self.least_recent_failure(table, &free),
+                _ => self.lowest_cost(now, table, &free, kind),
             };
             if let Some(chosen) = chosen {
-                return Ok(self.assign(now, chosen, tier_health, false));
+                return Ok(self.assign(now, chosen, health(chosen), false));
             }
         }
         Err(match full {
@@ -198,6 +260,70 @@
         (local + remote) / upstream.report.slots.max(1) as f32
     }
 
+    /// Whether idempotent requests test the upstreams of a service.
+    fn has_idempotent(&self, now: Instant, service: &ServiceId) -> bool {
+        let last = self.idempotent_at.get(service);
+        last.is_some_and(|at| now.saturating_duration_since(*at) < IDEMPOTENT_RECENT)
+    }
+
+    /// A suspect upstream that no request of the fleet tests although it may have recovered. Over the fleet
+    /// one test starts in [`RETEST_SPACING`] on average, and none while an earlier one has no result.
+    fn due_for_retest<'a>(
+        &mut self,
+        now: Instant,
+        table: &HealthTable,
+        candidates: &[&'a ListedUpstream],
+        vms: usize,
+    ) -> Option<&'a ListedUpstream> {
+        let spacing = RETEST_SPACING * u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
+        let mut due = Vec::new();
+        for upstream in candidates.iter().copied() {
+            let id = &upstream.report.upstream;
+            if table.health(now, id) != Health::Suspect {
+                continue;
+            }
+            let Some(updated) = table.updated_at(id) else {
+                continue;
+            };
+            let pause = match (table.successes(id), table.failures(id)) {
+                (1.., _) => RETEST_AFTER_SUCCESS,
+                (0, 0..=1) => RETEST_AFTER,
+                _ => RETEST_AFTER_FAILURES,
+            };
+            let load = self.load(upstream);
+            let retest = &mut self.locals.entry(id.clone()).or_default().retest;
+            let retest = match retest {
+                Some(retest) if retest.updated == updated => retest,
+                _ => retest.insert(Retest {
+                    updated,
+                    decided: updated + pause,
+                    held_load: load,
+                }),
+            };
+            retest.held_load = retest.held_load.min(load);
+            // By the time since the last decision, so that the rate of the fleet's tests depends neither on the
+            // number of VMs nor on how many requests each gets.
+            let undecided = now.saturating_duration_since(retest.decided);
+            retest.decided = retest.decided.max(now);
+            let chance = 1.0 - (-undecided.as_secs_f64() / spacing.as_secs_f64()).exp();
+            if load <= retest.held_load && self.rng.random_bool(chance) {
+                due.push(upstream);
+            }
+        }
+        self.random(&due)
+    }
+
+    /// Of a few random upstreams, the one whose last failure is longest ago: it is the most likely to have
+    /// recovered. The VMs choose among different ones, so that they don't all send to the same upstream.
+    fn least_recent_failure<'a>(
+        &mut self,
+        table: &HealthTable,
+        free: &[&'a ListedUpstream],
+    ) -> Option<&'a ListedUpstream> {
+        let drawn = (0..CANDIDATES).filter_map(|_| self.random(free));
+        drawn.min_by_key(|l| table.failed_at(&l.report.upstream))
+    }
+
     /// The upstream with the lowest cost among [`CANDIDATES`] random ones. All but the last are drawn from
     /// the own domain if it has a free one.
     fn lowest_cost<'a>(
@@ -205,7 +331,7 @@
         now: Instant,
         table: &HealthTable,
         free: &[&'a ListedUpstream],
-        idempotent: bool,
+        kind: Kind,
     ) -> Option<&'a ListedUpstream> {
         let near: Vec<&ListedUpstream> = free
             .iter()
@@ -219,12 +345,14 @@
                 false => &near,
             };
             let candidate = self.random(from)?;
-            let staleness = match idempotent {
-                true => 0.0,
-                false => table.succeeded_at(&candidate.report.upstream).map_or(0.0, |at| {
-                    now.saturating_duration_since(at).as_secs_f32() * STALENESS_COST_PER_S
-                }),
+            let succeeded = table.succeeded_at(&candidate.report.upstream);
+            let age = succeeded.map(|at| now.saturating_duration_since(at));
+            let charged_age = match kind {
+                Kind::Idempotent => Duration::ZERO,
+                Kind::NonIdempotent => age.unwrap_or_default(),
+                Kind::Untested => age.unwrap_or(STALENESS_MAX).min(STALENESS_MAX),
             };
+            let staleness = charged_age.as_secs_f32() * STALENESS_COST_PER_S;
             let cost = self.cost(now, table, candidate) + staleness;
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, candidate));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,6 +11,8 @@
 mod entry_list;
 #[path = "fleet/entry_vms.rs"]
 mod entry_vms;
+#[path = "fleet/floor.rs"]
+mod floor;
 #[path = "fleet/group.rs"]
 mod group;
 #[path = "fleet/health.rs"]
@@ -29,6 +31,10 @@
 mod quarantine;
 #[path = "fleet/retry_budget.rs"]
 mod retry_budget;
+#[path = "support/seeds.rs"]
+mod seeds;
+#[path = "support/selection_world.rs"]
+mod selection_world;
 #[path = "fleet/upstream_selector.rs"]
 mod upstream_selector;
 #[path = "fleet/upstreams.rs"]
--- a/tests/fleet/upstream_selector.rs
+++ b/tests/fleet/upstream_selector.rs
@@ -62,6 +62,7 @@
             may_test: idempotent,
             max_load: 2.0,
             tried,
+            vms: 1,
         };
         let choice = self
             .selector
@@ -72,10 +73,12 @@
     }
 }
 
-/// Guards against non-idempotent requests to suspect or unknown upstreams while there is a healthy one.
+/// Guards against non-idempotent requests to suspect or unknown upstreams while there is a healthy one and
+/// idempotent requests test the others.
 #[test]
 fn a_non_idempotent_request_goes_to_a_healthy_upstream() {
     let mut world = World::new(9);
+    world.choose(true, &[]).unwrap();
     world.update("u4", 1, 0);
     world.update("u5", 0, 1);
     for _ in 0..200 {
@@ -219,6 +222,7 @@
             may_test: false,
             max_load: 2.0,
             tried: &[],
+            vms: 1,
         };
         let choice = world
             .selector
@@ -293,6 +297,7 @@
     world.update("u0", 3, 0);
     world.now += Duration::from_secs(2);
     world.update("u3", 3, 0);
+    world.choose(true, &["u9".into()]).unwrap();
     let mut count_latest = |idempotent: bool| {
         // With an upstream that was tried, no request tests the upstreams without results.
         let choices = (0..200).map(|_| world.choose(idempotent, &["u9".into()]).unwrap());
