Leave upstreams that state in an answer that they leave or want a pause

An entry VM now excludes the run that stated it, by the start of the run that the request was sent to, until a later run announces itself. It tells its control VM (Frame::Leaving, revision 2), which records the departure in the replicated log, so that all entry VMs leave the upstream and a restart of the control VMs keeps it. A report of a run that is not listed is ignored with a log line. The run is proposed once although many VMs report it. Weighed: a message to all VMs without the log (lost with the control VM), a draining announcement made by the entry VM (its sequence number would have to exceed the upstream's).

A pause excludes the upstream at this VM only, also when no other is left: the request is refused at once. The time is bounded by 10 min and prolonged by up to a fifth, so that the VMs don't return at one moment. An answer with 421 comes from another server at that address and states nothing. Values that cannot be read are logged and counted (zinnia_upstream_notices_total) and change nothing; the answer is delivered in each case.

httpdate reads the HTTP date. Tests: tests/path/notices.rs, tests/fleet/leaving.rs, two of tests/fleet/upstream_selector.rs; the code before has none of these calls, so they were not seen failing on it.

--- a/examples/detect_bench/policy.rs
+++ b/examples/detect_bench/policy.rs
@@ -154,6 +154,7 @@
 
 fn chosen_upstream(upstream: usize) -> ChosenUpstream {
     ChosenUpstream {
+        run_start: 0,
         service: "s".into(),
         upstream: format!("u{upstream:02}").into(),
         address: ([127, 0, 0, 1], 9000).into(),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -311,6 +311,7 @@
         ChosenUpstream {
             service: criteria.service.clone(),
             upstream: name.clone(),
+            run_start: 0,
             address: entry.announcement.address,
             connections: (connections as usize / self.vms).max(1),
             reason: "balance",
--- a/src/conventions.rs
+++ b/src/conventions.rs
@@ -24,6 +24,8 @@
     pub not_run_status: Option<u16>,
     /// Statuses of answers in which `not_run_header` is taken into account; empty for all.
     pub marker_statuses: Vec<u16>,
+    /// Header with which an upstream states in its answers that it leaves; "1" means that it does.
+    pub leaving_header: Option<SmolStr>,
     /// Header that each successful answer of an upstream has; one without it is invalid, because another
     /// server sent it.
     pub answer_header: Option<SmolStr>,
@@ -50,6 +52,7 @@
             not_run_header: "x-not-run".into(),
             not_run_status: None,
             marker_statuses: vec![503],
+            leaving_header: None,
             answer_header: None,
             echoes_id: false,
             key_header: "x-api-key".into(),
--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -25,6 +25,7 @@
 use crate::id::RequestId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
+use crate::notice::Notice;
 use crate::quarantine;
 use crate::quarantine::CrashRecord;
 use crate::stage::AttemptResult;
@@ -63,6 +64,9 @@
 /// The same for less urgent requests; the difference is left for urgent ones.
 const ORDINARY_LOAD_LIMIT: f32 = 1.6;
 
+/// Part of the pause that an upstream asked for by which a VM prolongs it at most.
+const CLOSED_SPREAD: f64 = 0.2;
+
 /// Longer than any request, so that it has no effect; see `Chooser::reuse_timeout` below.
 const REUSE_TIMEOUT: Duration = Duration::from_secs(3_600);
 
@@ -171,6 +175,7 @@
         Ok(ChosenUpstream {
             service: report.service,
             upstream: report.upstream,
+            run_start: report.born,
             address: report.address,
             connections: match connection_limit {
                 0 => DEFAULT_CONNECTIONS,
@@ -277,6 +282,35 @@
         self.shared.request_flush();
     }
 
+    fn record_notice(&self, chosen: &ChosenUpstream, notice: Notice) {
+        let now = Instant::now();
+        let mut state = self.shared.state.lock().unwrap();
+        match notice {
+            Notice::Leaving => {
+                if state.selector.record_leaving(&chosen.upstream, chosen.run_start) {
+                    info!(
+                        "upstream leaves: upstream={} born={} source=answer",
+                        chosen.upstream, chosen.run_start
+                    );
+                    state.send_leaving(&chosen.upstream, chosen.run_start);
+                }
+            }
+            Notice::Pause(pause) => {
+                info!(
+                    "upstream closed: upstream={} ms={} source=answer",
+                    chosen.upstream,
+                    pause.as_millis()
+                );
+                // The VMs that were told the same time must not all return at its end.
+                let spread = pause.mul_f64(CLOSED_SPREAD * rand::random::<f64>());
+                state
+                    .selector
+                    .record_closed(now, &chosen.upstream, pause + spread);
+            }
+            Notice::Malformed(_) => {}
+        }
+    }
+
     fn count_request(&self, service: &ServiceId) {
         let mut state = self.shared.state.lock().unwrap();
         let (budget, _) = state.retry_budget(service);
--- a/src/fleet/control_client/state.rs
+++ b/src/fleet/control_client/state.rs
@@ -18,6 +18,7 @@
 use crate::fleet::message::ControlVm;
 use crate::fleet::message::EntryVm;
 use crate::fleet::message::Frame;
+use crate::fleet::message::LEAVING_REVISION;
 use crate::fleet::message::REVISION;
 use crate::fleet::retry_budget::Purpose;
 use crate::fleet::retry_budget::RetryBudget;
@@ -176,7 +177,8 @@
     pub(super) fn drop_unlisted(&mut self) {
         let upstreams = &self.upstreams;
         self.health.retain(|id| upstreams.get(id).is_some());
-        self.selector.retain(|id| upstreams.get(id).is_some());
+        self.selector
+            .retain(Instant::now(), |id| upstreams.get(id).is_some());
         self.unsent_results.retain(|id, _| upstreams.get(id).is_some());
     }
 }
@@ -210,6 +212,8 @@
         );
         self.token_pool.set_limits(&view.customers);
         self.upstreams.remove_departed(&view.departed);
+        self.selector
+            .retain_leaving(|id, run_start| !view.has_departed(id, run_start));
         self.drop_unlisted();
     }
 
@@ -226,6 +230,9 @@
         if self.control_revision.replace(revision).is_some() || revision == 0 {
             return;
         }
+        self.selector
+            .leaving()
+            .for_each(|(id, run_start)| self.send_leaving(id, run_start));
         let records = self.crashes.records(now, 1);
         if !records.is_empty() {
             info!("crashes sent to the control VM: records={}", records.len());
@@ -248,6 +255,15 @@
         }
     }
 
+    /// Tells the control VM that a run of an upstream leaves. While none is connected, or before its revision is
+    /// known, it is sent by [`State::set_control_revision`].
+    pub(super) fn send_leaving(&self, upstream: &UpstreamId, run_start: u64) {
+        if self.control_revision.is_some_and(|r| r >= LEAVING_REVISION) {
+            let upstream = upstream.clone();
+            self.send(&Frame::Leaving { upstream, run_start });
+        }
+    }
+
     /// Adds what this VM or another one knows of the crashes that a request caused.
     pub(super) fn merge_crashes(&mut self, now: Instant, record: &CrashRecord) {
         let outcome = self.crashes.merge(now, record);
--- a/src/fleet/control_server.rs
+++ b/src/fleet/control_server.rs
@@ -48,6 +48,7 @@
 
 mod call;
 mod crashes;
+mod departures;
 mod receive;
 mod state;
 mod tick;
@@ -202,20 +203,7 @@
     /// # Errors
     /// As for `announce`.
     pub async fn deregister(&self, upstream: UpstreamId, run_start: u64) -> Result<()> {
-        let shared = &self.shared;
-        let view = shared.replication()?.read(Catalog::view);
-        // Whatever this replica has applied is committed.
-        if view.has_departed(&upstream, run_start) {
-            return Ok(());
-        }
-        info!("upstream leaves: upstream={upstream} born={run_start}");
-        shared
-            .propose_change(Op::Depart {
-                upstream,
-                born: run_start,
-            })
-            .await
-            .map(drop)
+        self.shared.depart(upstream, run_start).await
     }
 
     /// Start of the listed run of an upstream, in milliseconds since 1970 by its clock, for a report that
--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -126,6 +126,7 @@
             Frame::CrashTakenBack { fingerprint, crash } => {
                 self.take_back_crash(peer.as_ref(), &fingerprint, crash);
             }
+            Frame::Leaving { upstream, run_start } => self.record_leaving(peer.as_ref(), upstream, run_start),
             Frame::Propose { number, data } => {
                 let shared = Arc::clone(self);
                 spawn_reply(link, number, async move {
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -1,6 +1,7 @@
 //! State of the control server: its connections and its view of the fleet.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -128,6 +129,8 @@
     pub(super) pending_successes: HashMap<UpstreamId, PendingSuccesses>,
     /// When an entry VM connected here last reported a broken connection or cut answer of an upstream.
     pub(super) last_failures: HashMap<UpstreamId, Instant>,
+    /// Runs of upstreams whose departure is being recorded.
+    pub(super) pending_departures: HashSet<(UpstreamId, u64)>,
     /// Crashes of upstreams that the fleet reported, by fingerprint.
     pub(super) crashes: CrashTable,
     /// Requests and retries of the fleet in the retry window.
@@ -239,6 +242,7 @@
             leader_history: Default::default(),
             pending_calls: Default::default(),
             pending_successes: Default::default(),
+            pending_departures: Default::default(),
             crashes: CrashTable::new(crash_policy::CONTROL),
             usage: FleetUsage::new(Instant::now()),
             unsent_usage: Default::default(),
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -30,8 +30,11 @@
 use crate::view::View;
 
 /// Revision of the messages that this build understands. 1 adds [`Frame::CrashRecords`] and
-/// [`Frame::CrashTakenBack`].
-pub const REVISION: u8 = 1;
+/// [`Frame::CrashTakenBack`], 2 adds [`Frame::Leaving`].
+pub const REVISION: u8 = 2;
+
+/// First revision that has [`Frame::Leaving`].
+pub const LEAVING_REVISION: u8 = 2;
 
 /// An entry VM as it is announced to other VMs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -178,6 +181,14 @@
         /// The crash that no longer counts.
         crash: CrashId,
     },
+    /// From an entry VM: a run of an upstream stated in an answer that it leaves.
+    Leaving {
+        /// Name of the upstream.
+        upstream: UpstreamId,
+        /// Start of the run, in milliseconds since 1970 by its clock.
+        #[serde(rename = "born")]
+        run_start: u64,
+    },
 }
 
 /// Reads the last field of a message, which older builds don't send.
--- a/src/fleet/upstream_selector.rs
+++ b/src/fleet/upstream_selector.rs
@@ -125,6 +125,8 @@
     tested_at: Option<Instant>,
     retest: Option<Retest>,
     paused_until: Option<Instant>,
+    /// Until when the upstream wants no request from this VM.
+    closed_until: Option<Instant>,
     /// Consecutive connections that could not be made.
     refusals: u32,
     /// Consecutive requests without an answer in the usual time, and when the last one was recorded.
@@ -151,6 +153,8 @@
     locals: HashMap<UpstreamId, LocalState>,
     /// Requests in flight from the other VMs, as last reported.
     remote_in_flight: HashMap<UpstreamId, f32>,
+    /// Runs that stated in an answer that they leave, by their start, which a later run has later.
+    leaving: HashMap<UpstreamId, u64>,
     /// When this VM last chose an upstream for an idempotent request, by service.
     idempotent_at: HashMap<ServiceId, Instant>,
     rng: StdRng,
@@ -163,6 +167,7 @@
             domain,
             locals: HashMap::new(),
             remote_in_flight: HashMap::new(),
+            leaving: HashMap::new(),
             idempotent_at: HashMap::new(),
             rng,
         }
@@ -171,8 +176,8 @@
     /// Chooses an upstream; the request counts as in flight until `finish`.
     ///
     /// # Errors
-    /// `NoUpstream` if no upstream of the service is ready and untried, `Overloaded` if all of them are full;
-    /// paused ones count only if all are paused.
+    /// `NoUpstream` if no upstream of the service is ready and untried, `Overloaded` if all of them are full or
+    /// want no request; paused ones count only if all are paused.
     pub fn choose(
         &mut self,
         now: Instant,
@@ -184,7 +189,11 @@
             .iter()
             .filter(|l| l.report.service == *criteria.service && l.report.state == AnnouncedState::Ready)
             .filter(|l| !criteria.tried.contains(&l.report.upstream))
+            .filter(|l| !self.is_leaving(&l.report.upstream, l.report.born))
             .collect();
+        let (closed, listed): (Vec<_>, Vec<_>) = listed
+            .into_iter()
+            .partition(|l| self.is_closed(now, &l.report.upstream));
         let unpaused: Vec<&ListedUpstream> = listed
             .iter()
             .copied()
@@ -221,7 +230,7 @@
         {
             return Ok(self.assign(now, chosen, Health::Suspect, true));
         }
-        let mut full = false;
+        let mut full = !closed.is_empty();
         let tiers: &[&[Health]] = match kind {
             Kind::Untested => &[&[Health::Healthy, Health::Unknown], &[Health::Suspect]],
             _ => &[&[Health::Healthy], &[Health::Unknown], &[Health::Suspect]],
@@ -441,6 +450,31 @@
         local.paused_until = Some(now + pause.min(REFUSED_PAUSE_MAX));
     }
 
+    /// Records that the upstream wants no request from this VM for a while.
+    pub fn record_closed(&mut self, now: Instant, id: &UpstreamId, pause: Duration) {
+        let local = self.locals.entry(id.clone()).or_default();
+        local.closed_until = local.closed_until.max(Some(now + pause));
+    }
+
+    /// Records that a run of an upstream leaves; returns whether that is new.
+    pub fn record_leaving(&mut self, id: &UpstreamId, run_start: u64) -> bool {
+        if self.is_leaving(id, run_start) {
+            return false;
+        }
+        self.leaving.insert(id.clone(), run_start);
+        true
+    }
+
+    /// Runs that stated that they leave, with their start.
+    pub fn leaving(&self) -> impl Iterator<Item = (&UpstreamId, u64)> {
+        self.leaving.iter().map(|(id, run_start)| (id, *run_start))
+    }
+
+    /// Drops the runs that need not be remembered, as the configuration excludes them.
+    pub fn retain_leaving(&mut self, is_needed: impl Fn(&UpstreamId, u64) -> bool) {
+        self.leaving.retain(|id, run_start| is_needed(id, *run_start));
+    }
+
     /// Sets how many requests the other VMs have in flight.
     pub fn set_remote_in_flight(&mut self, id: &UpstreamId, count: f32) {
         self.remote_in_flight.insert(id.clone(), count);
@@ -451,12 +485,24 @@
         self.locals.iter().map(|(id, l)| (id, l.in_flight))
     }
 
-    /// Drops the state of upstreams that are no longer listed, once this VM has no request in flight there.
-    pub fn retain(&mut self, is_listed: impl Fn(&UpstreamId) -> bool) {
-        self.locals.retain(|id, l| l.in_flight > 0 || is_listed(id));
+    /// Drops the state of upstreams that are no longer listed, once this VM has no request in flight there and
+    /// may send requests again.
+    pub fn retain(&mut self, now: Instant, is_listed: impl Fn(&UpstreamId) -> bool) {
+        let is_closed = |l: &LocalState| l.closed_until.is_some_and(|until| now < until);
+        self.locals
+            .retain(|id, l| l.in_flight > 0 || is_closed(l) || is_listed(id));
         self.remote_in_flight.retain(|id, _| is_listed(id));
     }
 
+    fn is_leaving(&self, id: &UpstreamId, run_start: u64) -> bool {
+        self.leaving.get(id).is_some_and(|left| run_start <= *left)
+    }
+
+    fn is_closed(&self, now: Instant, id: &UpstreamId) -> bool {
+        let closed = self.locals.get(id).and_then(|l| l.closed_until);
+        closed.is_some_and(|until| now < until)
+    }
+
     fn is_paused(&self, now: Instant, id: &UpstreamId) -> bool {
         let paused = self.locals.get(id).and_then(|l| l.paused_until);
         paused.is_some_and(|until| now < until)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod logger;
 pub mod member;
 pub mod metric;
+pub mod notice;
 pub mod operator;
 pub mod peers;
 pub mod pool;
--- a/src/proxy/meter.rs
+++ b/src/proxy/meter.rs
@@ -13,6 +13,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::http::UnwrittenReason;
+use crate::notice::Notice;
 use crate::stage::AttemptResult;
 
 use super::run::Completion;
@@ -30,6 +31,7 @@
     unfinished: IntCounterVec,
     mid_request_ends: IntCounterVec,
     quarantined: IntCounter,
+    notices: IntCounterVec,
 }
 
 impl Meter {
@@ -75,6 +77,12 @@
             .register(Box::new(mid_request_ends.clone()))
             .map_err(failed)?;
         registry.register(Box::new(quarantined.clone())).map_err(failed)?;
+        let options = Opts::new(
+            "zinnia_upstream_notices_total",
+            "Answers in which an upstream states that it leaves or wants a pause, or whose header is malformed",
+        );
+        let notices = IntCounterVec::new(options, &["kind"]).map_err(failed)?;
+        registry.register(Box::new(notices.clone())).map_err(failed)?;
         Ok(Self {
             requests,
             added_latency,
@@ -82,6 +90,7 @@
             unfinished,
             mid_request_ends,
             quarantined,
+            notices,
         })
     }
 
@@ -110,6 +119,11 @@
         self.mid_request_ends.with_label_values(&[name.as_str()]).inc();
     }
 
+    pub(crate) fn count_notice(&self, notice: Notice) {
+        let kind: &'static str = notice.into();
+        self.notices.with_label_values(&[kind]).inc();
+    }
+
     pub(crate) fn count_quarantined(&self) {
         self.quarantined.inc();
     }
--- a/src/stage.rs
+++ b/src/stage.rs
@@ -18,6 +18,7 @@
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::notice::Notice;
 use crate::view::Customer;
 use crate::view::Route;
 use crate::view::View;
@@ -139,6 +140,8 @@
     pub service: ServiceId,
     /// Name of the upstream.
     pub upstream: UpstreamId,
+    /// Start of the run that was chosen, in milliseconds since 1970 by the upstream's clock; 0 if not known.
+    pub run_start: u64,
     /// Address of the upstream.
     pub address: SocketAddr,
     /// Maximum number of connections of this VM to the upstream.
@@ -210,6 +213,9 @@
     /// Records that a running attempt has become overdue.
     fn record_overdue(&self, _chosen: &ChosenUpstream) {}
 
+    /// Records what an upstream states about itself in an answer.
+    fn record_notice(&self, _chosen: &ChosenUpstream, _notice: Notice) {}
+
     /// Whether a request whose reused connection ended is sent to the same upstream on a fresh connection,
     /// instead of to another upstream.
     fn reconnects(&self) -> bool {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -19,6 +19,8 @@
 mod health;
 #[path = "fleet/leader_history.rs"]
 mod leader_history;
+#[path = "fleet/leaving.rs"]
+mod leaving;
 #[path = "fleet/link.rs"]
 mod link;
 #[path = "fleet/loopback.rs"]
--- a/tests/fleet/upstream_selector.rs
+++ b/tests/fleet/upstream_selector.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use smol_str::SmolStr;
+use zinnialoom::fleet::discovery::Announcement;
 use zinnialoom::fleet::discovery::UpstreamTable;
 use zinnialoom::fleet::health::Health;
 use zinnialoom::fleet::health::HealthTable;
@@ -307,3 +308,45 @@
     assert!(non_idempotent >= 160, "{non_idempotent} of 200");
     assert!((60..140).contains(&idempotent), "{idempotent} of 200");
 }
+
+/// Guards against requests to a run that stated that it leaves, even if no other upstream is left, and against
+/// leaving out a later run under the same name.
+#[test]
+fn a_leaving_upstream_gets_no_requests_until_it_starts_anew() {
+    let mut world = World::new(1);
+    world.update("u0", 1, 0);
+    let run_start = report("u0", "a").born;
+    assert!(world.selector.record_leaving(&"u0".into(), run_start));
+    assert!(!world.selector.record_leaving(&"u0".into(), run_start));
+    assert!(world.choose(true, &[]).is_none());
+    // The table forgets the upstream for a while.
+    world.selector.retain(world.now, |_| false);
+    assert!(world.choose(false, &[]).is_none());
+    let next = Announcement {
+        born: run_start + 1,
+        ..report("u0", "a")
+    };
+    world.upstreams.announce(world.now, next);
+    assert!(world.choose(false, &[]).is_some());
+}
+
+/// Guards against requests to an upstream that asked for a pause while the others are paused or full, and
+/// against requests that wait for it although it is the only one.
+#[test]
+fn a_closed_upstream_gets_no_requests_until_its_time_ends() {
+    let mut world = World::new(2);
+    (0..2).for_each(|n| world.update(&format!("u{n}"), 1, 0));
+    let pause = Duration::from_secs(2);
+    world.selector.record_closed(world.now, &"u0".into(), pause);
+    world.selector.record_closed(world.now, &"u0".into(), MS);
+    world.selector.record_refused(world.now, &"u1".into());
+    for _ in 0..100 {
+        assert_eq!(world.choose(true, &[]).unwrap().listed.report.upstream, "u1");
+    }
+    assert!(world.choose(false, &["u1".into()]).is_none());
+    world.selector.retain(world.now, |_| false);
+    world.now += pause - MS;
+    assert!(world.choose(false, &["u1".into()]).is_none());
+    world.now += MS;
+    assert!(world.choose(false, &["u1".into()]).is_some());
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -8,6 +8,8 @@
 mod heads;
 #[path = "path/keys.rs"]
 mod keys;
+#[path = "path/notices.rs"]
+mod notices;
 #[path = "path/once.rs"]
 mod once;
 #[path = "path/overdue.rs"]
--- a/tests/path/fakes.rs
+++ b/tests/path/fakes.rs
@@ -24,6 +24,7 @@
 use zinnialoom::http::HttpServer;
 use zinnialoom::id::RouteId;
 use zinnialoom::id::ServiceId;
+use zinnialoom::notice::Notice;
 use zinnialoom::proxy::Directory;
 use zinnialoom::proxy::Proxy;
 use zinnialoom::proxy::ProxySettings;
@@ -86,6 +87,8 @@
     pub reconnects: AtomicBool,
     pub reuse_timeout: Mutex<Duration>,
     pub overdue_after: Mutex<Option<Duration>>,
+    /// Notices passed to `Chooser::record_notice`.
+    pub notices: Mutex<Vec<Notice>>,
 }
 
 pub struct FakeStages;
@@ -156,6 +159,7 @@
         Ok(ChosenUpstream {
             service: criteria.service.clone(),
             upstream: address.to_string().into(),
+            run_start: 0,
             address,
             connections: self.connections.load(Ordering::SeqCst),
             reason: "fake",
@@ -182,6 +186,10 @@
         *self.overdue_after.lock().unwrap()
     }
 
+    fn record_notice(&self, _chosen: &ChosenUpstream, notice: Notice) {
+        self.notices.lock().unwrap().push(notice);
+    }
+
     fn reuse_timeout(&self, _route: &RouteId) -> Duration {
         *self.reuse_timeout.lock().unwrap()
     }
@@ -298,6 +306,7 @@
             reconnects: AtomicBool::new(true),
             reuse_timeout: Mutex::new(Duration::from_millis(250)),
             overdue_after: Mutex::default(),
+            notices: Mutex::default(),
         });
         let stages = StageSet {
             config: fakes.clone(),
@@ -311,7 +320,11 @@
             body_limit: 1 << 20,
             read_timeout: Duration::from_millis(400),
             request_timeout: Duration::from_secs(3),
-            conventions: HttpConventions::default(),
+            conventions: HttpConventions {
+                not_run_status: Some(421),
+                leaving_header: Some("server-leaving".into()),
+                ..HttpConventions::default()
+            },
             soft_quarantine: false,
         };
         let registry = Registry::new();
