Bound the tokens that entry VMs save while the leader is cut off

Each VM then spent its share of the rate from a bucket of up to 2 tokens, 96 over the fleet where the customer's burst is 35. Tokens that were saved before the window, the rate, and the full bucket of the leader that returned add up to more than the excess allows. Ruled out: overlapping grants of two leaders, a lapsed lease, an initial excess that was used twice (the leader logged its only one at -7.6 s).

Now the buckets of all VMs together hold at most 0.6 of the allowed excess (at most the burst). Weighed: reports of what was spent, taken from the leader's bucket when it returns (it has granted its burst before the reports are in); no refill of the leader's bucket while VMs are out of contact (leaves the saved tokens).

The bucket is a module without network now. Bytes of the messages between VMs are counted by kind (zinnia_link_sent_bytes_total).

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -12,6 +12,7 @@
 mod crash_policy;
 pub mod discovery;
 pub mod entry_vms;
+pub mod fallback_bucket;
 pub mod health;
 pub mod leader_history;
 pub mod link;
--- a/src/fleet/control_client/state.rs
+++ b/src/fleet/control_client/state.rs
@@ -10,6 +10,8 @@
 use smol_str::SmolStr;
 
 use crate::fleet::discovery::UpstreamTable;
+use crate::fleet::fallback_bucket::FallbackBucket;
+use crate::fleet::fallback_bucket::FallbackShare;
 use crate::fleet::health::Health;
 use crate::fleet::health::HealthTable;
 use crate::fleet::health::HealthUpdate;
@@ -39,13 +41,6 @@
 use crate::view::Route;
 use crate::view::View;
 
-/// Largest level of a fallback bucket, in tokens.
-pub(super) const MAX_FALLBACK_TOKENS: f64 = 2.0;
-
-/// Part of the allowed excess that the fallback buckets of all VMs together start with when the leader, which
-/// grants the tokens, is lost. The token buckets of a new leader may start with as much again.
-pub(super) const FALLBACK_EXCESS_RATIO: f64 = 0.4;
-
 /// An attempt is overdue at the mean latency plus this many mean deviations.
 pub(super) const OVERDUE_DEVIATIONS: f64 = 8.0;
 
@@ -60,14 +55,6 @@
     pub(super) deviation: f64,
 }
 
-/// Local token bucket of a customer, used while no control VM grants tokens.
-pub(super) struct FallbackBucket {
-    /// Tokens.
-    pub(super) level: f64,
-    /// When the level was computed.
-    pub(super) at: Instant,
-}
-
 /// What the control client keeps under its lock.
 pub(super) struct State {
     pub(super) entry: EntryVm,
@@ -322,32 +309,14 @@
         self.link.is_none() || self.token_pool.is_unowned(now, &customer.id)
     }
 
-    /// Spends a token of the fallback bucket; `false` if it has none. The bucket refills at this VM's share
-    /// of the customer's rate from the last grant on. A part of the allowed excess is added at most once per
-    /// window: to a new bucket, and to one that no request tried to use for a window.
+    /// Whether the fallback bucket of the customer admits a request.
     pub(super) fn spend_fallback(&mut self, now: Instant, customer: &Customer, excess: &Excess) -> bool {
-        let vms = self.entries.len().max(1) as f64;
-        let rate = f64::from(customer.limit.rate) / vms;
+        let share = FallbackShare::new(customer.limit, excess, self.entries.len());
         let refill_start = self.granted_at.unwrap_or(now);
-        let initial = (excess.allowed(customer.limit) * FALLBACK_EXCESS_RATIO / vms).min(MAX_FALLBACK_TOKENS);
         let bucket = self
             .fallback_buckets
             .entry(customer.id.clone())
-            .or_insert(FallbackBucket {
-                level: initial,
-                at: refill_start,
-            });
-        if now.saturating_duration_since(bucket.at) >= excess.window {
-            bucket.level = bucket.level.max(initial);
-        }
-        bucket.at = bucket.at.max(refill_start);
-        let elapsed = now.saturating_duration_since(bucket.at).as_secs_f64();
-        bucket.level = (bucket.level + elapsed * rate).min(MAX_FALLBACK_TOKENS);
-        bucket.at = now;
-        if bucket.level < 1.0 {
-            return false;
-        }
-        bucket.level -= 1.0;
-        true
+            .or_insert_with(|| FallbackBucket::new(&share, refill_start));
+        bucket.spend(now, &share, refill_start, rand::random())
     }
 }
--- /dev/null
+++ b/src/fleet/fallback_bucket.rs
@@ -0,0 +1,80 @@
+//! Core: tokens of a customer that an entry VM spends while no leader grants any.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::grant::Excess;
+use crate::view::Limit;
+
+/// Part of the allowed excess that the buckets of all VMs together start with. The buckets of a new leader may
+/// start with as much again.
+const INITIAL_RATIO: f64 = 0.4;
+/// Part of the allowed excess that the buckets of all VMs together hold at most. A leader that was only cut off
+/// has full buckets when it returns, so that these tokens are spent beside a whole burst. The rest of the excess
+/// is for the deviation of the random admissions from their mean.
+const CAPACITY_RATIO: f64 = 0.6;
+
+/// The part of a customer's limit that one VM spends without a leader.
+#[derive(Debug, Clone, Copy)]
+pub struct FallbackShare {
+    /// Tokens per second.
+    rate: f64,
+    /// Level of a new bucket, in tokens.
+    initial: f64,
+    /// Largest level, in tokens.
+    capacity: f64,
+    /// Time after which a bucket that no request used counts as new.
+    window: Duration,
+}
+
+impl FallbackShare {
+    /// The share of one of `vms` VMs.
+    pub fn new(limit: Limit, excess: &Excess, vms: usize) -> Self {
+        let vms = vms.max(1) as f64;
+        let allowed = excess.allowed(limit);
+        let capacity = (allowed * CAPACITY_RATIO).min(f64::from(limit.burst)) / vms;
+        Self {
+            rate: f64::from(limit.rate) / vms,
+            initial: (allowed * INITIAL_RATIO / vms).min(capacity),
+            capacity,
+            window: excess.window,
+        }
+    }
+}
+
+/// Bucket of a customer on one VM. In a large fleet it rarely holds a whole token, so a request takes what there
+/// is and is admitted with that probability: over the VMs the sum of the admissions is that of the tokens.
+#[derive(Debug, Clone, Copy)]
+pub struct FallbackBucket {
+    /// Tokens.
+    level: f64,
+    /// When the level was computed.
+    at: Instant,
+}
+
+impl FallbackBucket {
+    /// A bucket with the initial level, which refills from `refill_start` on.
+    pub fn new(share: &FallbackShare, refill_start: Instant) -> Self {
+        Self {
+            level: share.initial,
+            at: refill_start,
+        }
+    }
+
+    /// Whether a request is admitted; `draw` is a random number from 0 to less than 1. The bucket refills from
+    /// `refill_start`, the last grant of a leader, on.
+    pub fn spend(&mut self, now: Instant, share: &FallbackShare, refill_start: Instant, draw: f64) -> bool {
+        if now.saturating_duration_since(self.at) >= share.window {
+            self.level = self.level.max(share.initial);
+        }
+        let since = self.at.max(refill_start);
+        let refill = now.saturating_duration_since(since).as_secs_f64() * share.rate;
+        self.level = (self.level + refill).min(share.capacity);
+        self.at = now;
+        if self.level >= 1.0 {
+            self.level -= 1.0;
+            return true;
+        }
+        draw < std::mem::take(&mut self.level)
+    }
+}
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::net::Shutdown;
 use std::net::SocketAddr;
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use async_std::channel;
@@ -17,6 +18,9 @@
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use async_std::task;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use strum::VariantNames;
 
 use crate::fleet::message::Frame;
 
@@ -61,6 +65,7 @@
 
     /// Sends a message that [`encode`] returned; otherwise like [`Link::send`].
     pub fn send_bytes(&self, bytes: Vec<u8>) {
+        count_sent(&bytes);
         if self.queue.try_send(bytes).is_err() {
             self.close();
         }
@@ -129,6 +134,26 @@
     }
 }
 
+/// Bytes of the messages that this process sent to others, by kind.
+static SENT_BYTES: LazyLock<Option<IntCounterVec>> = LazyLock::new(|| {
+    let name = "zinnia_link_sent_bytes_total";
+    let opts = Opts::new(name, "Bytes of messages to other VMs, by kind of message");
+    let counters = IntCounterVec::new(opts, &["kind"]);
+    let registered = counters.and_then(|c| prometheus::register(Box::new(c.clone())).map(|()| c));
+    registered
+        .inspect_err(|e| log::warn!("metric {name} not registered: {e}"))
+        .ok()
+});
+
+/// Counts an encoded message. Its kind is the number of its variant, which follows the length in one byte.
+fn count_sent(bytes: &[u8]) {
+    let kind = bytes.get(LENGTH_BYTES).map(|kind| usize::from(*kind));
+    let kind = kind.and_then(|kind| Frame::VARIANTS.get(kind));
+    if let (Some(counters), Some(kind)) = (SENT_BYTES.as_ref(), kind) {
+        counters.with_label_values(&[kind]).inc_by(bytes.len() as u64);
+    }
+}
+
 fn invalid(text: String) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, text)
 }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -11,6 +11,7 @@
 use serde::Deserializer;
 use serde::Serialize;
 use smol_str::SmolStr;
+use strum::VariantNames;
 
 use crate::catalog::delta::Delta;
 use crate::fleet::discovery::Announcement;
@@ -81,7 +82,8 @@
 }
 
 /// One message on a connection.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, VariantNames)]
+#[strum(serialize_all = "snake_case")]
 pub enum Frame {
     /// First message of an entry VM; sent again when its description changes.
     Entry {
--- /dev/null
+++ b/tests/fleet/fallback_bucket.rs
@@ -0,0 +1,108 @@
+//! Limits of customers while the leader, which grants the tokens, is cut off from all entry VMs.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use zinnialoom::fleet::fallback_bucket::FallbackBucket;
+use zinnialoom::fleet::fallback_bucket::FallbackShare;
+use zinnialoom::grant::Excess;
+use zinnialoom::view::Limit;
+
+const MS: Duration = Duration::from_millis(1);
+const EXCESS: Excess = Excess {
+    window: Duration::from_secs(5),
+    ratio: 0.1,
+    requests: 20.0,
+};
+/// Seconds in which the leader is cut off.
+const CUT: (f64, f64) = (1.0, 5.5);
+
+/// When the demand rises, in seconds.
+const RISE: f64 = 3.1;
+
+/// Offsets of the requests that were admitted in 12 s, of `demand` requests a second at random VMs, before and
+/// after the rise, and the number of requests during the cut.
+fn admitted(limit: Limit, vms: usize, demand: (f64, f64), seed: u64) -> (Vec<f64>, usize) {
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let share = FallbackShare::new(limit, &EXCESS, vms);
+    let at = |s: f64| start + Duration::from_secs_f64(s);
+    let mut buckets: Vec<Option<FallbackBucket>> = vec![None; vms];
+    // The leader's bucket refills while it is cut off, as it still leads.
+    let (mut level, mut updated) = (f64::from(limit.burst), 0.0);
+    let (mut offsets, mut asked_in_cut, mut now) = (Vec::new(), 0, 0.0);
+    while now < 12.0 {
+        let demand = if now < RISE { demand.0 } else { demand.1 };
+        now += -(1.0 - rng.random::<f64>()).ln() / demand;
+        let is_admitted = if now >= CUT.0 && now < CUT.1 {
+            asked_in_cut += 1;
+            let bucket =
+                buckets[rng.random_range(0..vms)].get_or_insert(FallbackBucket::new(&share, at(CUT.0)));
+            bucket.spend(at(now), &share, at(CUT.0), rng.random())
+        } else {
+            level = (level + (now - updated) * f64::from(limit.rate)).min(f64::from(limit.burst));
+            updated = now;
+            let is_granted = level >= 1.0;
+            level -= f64::from(u8::from(is_granted));
+            is_granted
+        };
+        if is_admitted {
+            offsets.push(now);
+        }
+    }
+    (offsets, asked_in_cut)
+}
+
+/// Guards against more requests than the limit and the allowed excess in any window, when every VM saved tokens
+/// during a cut, the demand rises, and the leader returns with a full bucket (seen as QUOTA: 265 of 251).
+#[test]
+fn the_limit_holds_when_a_leader_that_was_cut_off_returns() {
+    for (rate, vms) in [(35, 48), (62, 48), (10, 276), (35, 276)] {
+        let limit = Limit { rate, burst: rate };
+        let allowed = f64::from(rate * 6) + EXCESS.allowed(limit);
+        for seed in 0..40 {
+            let (offsets, _) = admitted(limit, vms, (f64::from(rate) * 0.2, f64::from(rate) * 8.0), seed);
+            let counts = offsets.iter().map(|from| {
+                let end = offsets.partition_point(|at| *at < from + EXCESS.window.as_secs_f64());
+                end - offsets.partition_point(|at| at < from)
+            });
+            let worst = counts.max().unwrap();
+            assert!(
+                worst as f64 <= allowed,
+                "rate {rate} vms {vms} seed {seed}: {worst} of {allowed}"
+            );
+        }
+    }
+}
+
+/// Guards against refusing all requests in a large fleet because no VM's share reaches a whole token.
+#[test]
+fn a_large_fleet_admits_requests_without_a_leader() {
+    let limit = Limit { rate: 10, burst: 10 };
+    let (mut served, mut asked) = (0, 0);
+    for seed in 0..40 {
+        let (offsets, count) = admitted(limit, 276, (6.0, 6.0), seed);
+        served += offsets.iter().filter(|at| **at >= CUT.0 && **at < CUT.1).count();
+        asked += count;
+    }
+    assert!(served > 0, "none of {asked} admitted");
+    println!("{served} of {asked} admitted");
+}
+
+/// Guards against an initial level that is spent more than once in a window.
+#[test]
+fn a_bucket_gets_its_initial_level_once_in_a_window() {
+    let limit = Limit {
+        rate: 0,
+        burst: 1_000,
+    };
+    let share = FallbackShare::new(limit, &EXCESS, 1);
+    let start = Instant::now();
+    let mut bucket = FallbackBucket::new(&share, start);
+    let admitted = (0..1_000).filter(|n| bucket.spend(start + MS * 4 * *n, &share, start, 0.999));
+    // 0.4 of the excess of 120 requests.
+    assert_eq!(admitted.count(), 48);
+}
