Survive a panic under the lock of a VM's state, and extreme values of peers

Operators of similar systems saw one malformed message or unexpected error take a whole process down. It could happen here: a panic while the state of a control VM or an entry VM was locked poisoned the lock, and every later use of it panicked too, so that the process ran on and served nobody. tests/fleet/extremes.rs sends a control VM the largest values of each message; in a build with overflow checks the sum of requests in flight overflowed at 65,535, and the VM sent no lists any more. A release build wraps the sum instead, so the platform was not hit by this value; the class remained.

Sums of received counts saturate (a finding by reading that was open), and the states of src/fleet use the locks of parking_lot, which prometheus and jsonrpsee depend on already: they have no poisoning, and a task that panics ends alone.

--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -4,7 +4,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +13,7 @@
 use async_std::task;
 use log::info;
 use log::warn;
+use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -172,7 +172,7 @@
 
     /// Announces whether the address of this VM may be given to callers.
     pub fn set_ready(&self, is_ready: bool) {
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         if state.entry.is_ready == is_ready {
             return;
         }
@@ -185,12 +185,12 @@
 
     /// Replaces the control VMs given at the start.
     pub fn set_seeds(&self, seeds: Vec<VmName>) {
-        *self.shared.seeds.lock().unwrap() = seeds;
+        *self.shared.seeds.lock() = seeds;
     }
 
     /// The entry VMs, from the last list of the control VM.
     pub fn entries(&self) -> Vec<EntryVm> {
-        self.shared.state.lock().unwrap().entries.clone()
+        self.shared.state.lock().entries.clone()
     }
 
     /// The entry VMs. While this process is starting, waits until one of them is ready.
@@ -212,7 +212,7 @@
     /// Whether a configuration has been received and, since this process started, a control VM that has a leader
     /// has confirmed it.
     pub fn is_confirmed(&self) -> bool {
-        let state = self.shared.state.lock().unwrap();
+        let state = self.shared.state.lock();
         state.view.version > 0 && state.confirmed_at.is_some()
     }
 }
@@ -222,7 +222,7 @@
 
     async fn stop(&self) {
         self.jobs.stop().await;
-        if let Some(link) = self.shared.state.lock().unwrap().link.take() {
+        if let Some(link) = self.shared.state.lock().link.take() {
             link.close();
         }
     }
@@ -257,8 +257,8 @@
 
     /// The control VM to try next; `None` if all were tried in this round.
     fn next_candidate(&self, selector: &ControlSelector) -> Option<VmName> {
-        let seeds = self.seeds.lock().unwrap().clone();
-        let state = self.state.lock().unwrap();
+        let seeds = self.seeds.lock().clone();
+        let state = self.state.lock();
         selector.next(Instant::now(), &state.entry, &state.controls, &seeds)
     }
 
@@ -272,7 +272,7 @@
         selector: &ControlSelector,
     ) -> LeaveReason {
         {
-            let mut state = self.state.lock().unwrap();
+            let mut state = self.state.lock();
             link.send(&state.hello());
             state.link = Some(link.clone());
             // States the revision at once, so that the control VM sends its suspects before requests arrive.
@@ -304,7 +304,7 @@
             }
         };
         link.close();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         state.link = None;
         state.control_revision = None;
         state.retry_budgets.values_mut().for_each(RetryBudget::disconnect);
@@ -313,13 +313,13 @@
 
     /// Whether a control VM of the own failure domain is available while `vm` is in another.
     fn has_nearer(&self, now: Instant, vm: &VmName, selector: &ControlSelector) -> bool {
-        let state = self.state.lock().unwrap();
+        let state = self.state.lock();
         selector.has_nearer(now, vm, &state.entry, &state.controls)
     }
 
     /// Handles one message of the control VM.
     fn handle_frame(&self, now: Instant, frame: Frame) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         match frame {
             Frame::Heartbeat {
                 is_fresh, revision, ..
@@ -428,7 +428,7 @@
     /// Sends the results and retry counts since the last report, and the requests in flight.
     fn flush_reports(&self) {
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         if state.link.is_none() {
             return;
         }
@@ -458,13 +458,13 @@
     }
 
     fn send_heartbeat(&self) {
-        let state = self.state.lock().unwrap();
+        let state = self.state.lock();
         state.send(&state.heartbeat());
     }
 
     /// Drops expired token grants and sends the token requests and spend reports that are due.
     fn refresh_tokens(&self) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         let requests = state.token_pool.tick(Instant::now());
         state.send_token_requests(requests);
     }
--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -72,7 +72,7 @@
 
 impl Config for ControlClient {
     fn view(&self) -> Arc<View> {
-        Arc::clone(&self.shared.state.lock().unwrap().view)
+        Arc::clone(&self.shared.state.lock().view)
     }
 
     /// A VM that has just started gets its configuration within a few hundred milliseconds. Refusing requests
@@ -86,7 +86,7 @@
     /// Whether refusals by this configuration can be trusted. Requests that it allows are served in any case,
     /// so that a long outage of the control VMs doesn't stop the service.
     fn is_fresh(&self, now: Instant) -> bool {
-        let state = self.shared.state.lock().unwrap();
+        let state = self.shared.state.lock();
         if state.view.version == 0 {
             return false;
         }
@@ -110,7 +110,7 @@
         let now = Instant::now();
         let deadline = deadline.min(now + MAX_TOKEN_WAIT);
         let (ticket, mut receiver) = {
-            let mut state = self.shared.state.lock().unwrap();
+            let mut state = self.shared.state.lock();
             let spend = state.token_pool.spend(now, customer, deadline);
             let requests = state.token_pool.due_requests(now, &customer.id);
             state.send_token_requests(requests);
@@ -135,7 +135,7 @@
         if matches!(future::timeout(wait, &mut receiver).await, Ok(Ok(()))) {
             return Ok(());
         }
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         // The token may have come between the timeout and this point.
         let is_waiting = state.token_waiters.remove(&ticket).is_some();
         state.token_pool.cancel(&customer.id, ticket);
@@ -149,7 +149,7 @@
 impl Chooser for ControlClient {
     fn choose(&self, request: &ChoiceCriteria<'_>) -> Result<ChosenUpstream> {
         let now = Instant::now();
-        let mut guard = self.shared.state.lock().unwrap();
+        let mut guard = self.shared.state.lock();
         let state = &mut *guard;
         let (budget, vms) = state.retry_budget(request.service);
         let criteria = Criteria {
@@ -192,7 +192,7 @@
 
     fn finish(&self, chosen: ChosenUpstream, sample: Sample) {
         let now = Instant::now();
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         let target = state.target_seconds(&sample.route);
         let is_recorded = target > 0.0 && {
             let overdue_after = state.overdue_after(&sample.route, target);
@@ -248,31 +248,31 @@
     }
 
     fn is_urgent(&self, route: &Route) -> bool {
-        self.shared.state.lock().unwrap().purpose(route) == Purpose::Urgent
+        self.shared.state.lock().purpose(route) == Purpose::Urgent
     }
 
     fn allows_retry(&self, route: &Route) -> bool {
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         let purpose = state.purpose(route);
         let (budget, vms) = state.retry_budget(&route.service);
         budget.allows(Instant::now(), &self.shared.retry_bound, vms, purpose)
     }
 
     fn take_retry_for(&self, route: &Route) -> bool {
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         let purpose = state.purpose(route);
         let (budget, vms) = state.retry_budget(&route.service);
         budget.take(Instant::now(), &self.shared.retry_bound, vms, purpose)
     }
 
     fn take_retry(&self, service: &ServiceId) -> bool {
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         let (budget, vms) = state.retry_budget(service);
         budget.take(Instant::now(), &self.shared.retry_bound, vms, Purpose::Ordinary)
     }
 
     fn record_overdue(&self, chosen: &ChosenUpstream) {
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         // A full upstream answers late because of its queue, which is no sign of a gray failure.
         if state.is_queueing(&chosen.upstream) {
             return;
@@ -286,7 +286,7 @@
 
     fn record_notice(&self, chosen: &ChosenUpstream, notice: Notice) {
         let now = Instant::now();
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         match notice {
             Notice::Leaving => {
                 if state.selector.record_leaving(&chosen.upstream, chosen.run_start) {
@@ -314,7 +314,7 @@
     }
 
     fn count_request(&self, service: &ServiceId) {
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         let (budget, _) = state.retry_budget(service);
         budget.count_request(Instant::now(), &self.shared.retry_bound);
     }
@@ -324,7 +324,7 @@
         if target == 0.0 {
             return None;
         }
-        let state = self.shared.state.lock().unwrap();
+        let state = self.shared.state.lock();
         Some(state.overdue_after(&route.id, target))
     }
 
@@ -337,12 +337,12 @@
 
 impl Quarantine for ControlClient {
     fn is_blocked(&self, fingerprint: &str, now: Instant) -> bool {
-        let state = self.shared.state.lock().unwrap();
+        let state = self.shared.state.lock();
         state.crashes.is_blocked(now, fingerprint)
     }
 
     fn record_answer(&self, fingerprint: &str) {
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         let Some(crash) = state.crashes.record_answer(Instant::now(), fingerprint) else {
             return;
         };
@@ -358,7 +358,7 @@
 
     async fn report(&self, fingerprint: &str) {
         let crash = CrashRecord::of_crash(fingerprint, rand::random());
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         state.merge_crashes(Instant::now(), &crash);
         state.send_crash(crash);
     }
--- a/src/fleet/control_server.rs
+++ b/src/fleet/control_server.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -13,6 +12,7 @@
 use async_std::task;
 use log::info;
 use log::warn;
+use parking_lot::Mutex;
 
 use self::call::CALL_TIMEOUT;
 use self::call::Leader;
@@ -209,7 +209,7 @@
     /// Start of the listed run of an upstream, in milliseconds since 1970 by its clock, for a report that
     /// doesn't state it.
     pub fn run_start(&self, upstream: &UpstreamId) -> Option<u64> {
-        let state = self.shared.state.lock().unwrap();
+        let state = self.shared.state.lock();
         state.upstreams.get(upstream).map(|l| l.report.born)
     }
 
@@ -270,7 +270,7 @@
 
     /// Number of connected control VMs.
     pub fn connected_controls(&self) -> usize {
-        self.shared.state.lock().unwrap().controls.len()
+        self.shared.state.lock().controls.len()
     }
 
     /// Number of connections to control VMs that were lost since the start.
@@ -284,7 +284,7 @@
 
     async fn stop(&self) {
         self.jobs.stop().await;
-        let mut state = self.shared.state.lock().unwrap();
+        let mut state = self.shared.state.lock();
         for (_, peer) in state.entries.drain() {
             peer.link.close();
         }
@@ -301,7 +301,7 @@
     }
 
     fn control_link(&self, vm: &VmName) -> Option<Link> {
-        let state = self.state.lock().unwrap();
+        let state = self.state.lock();
         state.controls.get(vm).map(|p| p.link.clone())
     }
 
@@ -330,7 +330,7 @@
         let mut names: Vec<VmName> = members.members().map(|m| m.vm.clone()).collect();
         names.extend(self.seeds.iter().cloned());
         {
-            let mut state = self.state.lock().unwrap();
+            let mut state = self.state.lock();
             state.entry_vms.expire(Instant::now());
             state.expire_controls(Instant::now());
             names.extend(state.known_controls.keys().cloned());
@@ -370,7 +370,7 @@
         };
         link.close();
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         match peer {
             Some(Peer::Entry(vm)) if state.entries.get(&vm).is_some_and(|p| p.number == number) => {
                 state.entries.remove(&vm);
--- a/src/fleet/control_server/call.rs
+++ b/src/fleet/control_server/call.rs
@@ -92,11 +92,11 @@
     ) -> Result<CallOutcome> {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
-        self.state.lock().unwrap().pending_calls.insert(number, sender);
+        self.state.lock().pending_calls.insert(number, sender);
         link.send(&frame(number));
         let left = deadline.saturating_duration_since(Instant::now());
         let answer = future::timeout(left, receiver).await;
-        self.state.lock().unwrap().pending_calls.remove(&number);
+        self.state.lock().pending_calls.remove(&number);
         match answer {
             Ok(Ok(outcome)) => Ok(outcome),
             _ => Err(Error::new(Code::Timeout, "the leader did not answer")),
--- a/src/fleet/control_server/crashes.rs
+++ b/src/fleet/control_server/crashes.rs
@@ -19,7 +19,7 @@
 impl Shared {
     /// Notes the revision of a VM from its heartbeat. One that has just connected gets all suspects.
     pub(super) fn set_revision(&self, from: Option<&Peer>, number: u64, revision: u8) {
-        let mut guard = self.state.lock().unwrap();
+        let mut guard = self.state.lock();
         let state = &mut *guard;
         let (link, known) = match from {
             Some(Peer::Entry(vm)) => match state.entries.get_mut(vm) {
@@ -45,7 +45,7 @@
     /// here get new suspects.
     pub(super) fn record_crashes(&self, from: Option<&Peer>, records: Vec<CrashRecord>) {
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         for record in records {
             let outcome = state.crashes.merge(now, &record);
             if !outcome.is_new {
@@ -68,7 +68,7 @@
     /// Takes back a crash, here and on the VMs that know of it.
     pub(super) fn take_back_crash(&self, from: Option<&Peer>, fingerprint: &SmolStr, crash: CrashId) {
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         let known = state.crashes.record(now, fingerprint);
         if !state.crashes.take_back(now, fingerprint, crash) {
             return;
--- a/src/fleet/control_server/departures.rs
+++ b/src/fleet/control_server/departures.rs
@@ -49,7 +49,7 @@
         }
         let run = (upstream, run_start);
         {
-            let mut state = self.state.lock().unwrap();
+            let mut state = self.state.lock();
             let listed = state.upstreams.get(&run.0).map(|l| l.report.born);
             if listed != Some(run_start) {
                 // It has departed, or a later run has taken its place.
@@ -75,7 +75,7 @@
                 }
                 task::sleep(RECORD_PAUSE).await;
             }
-            shared.state.lock().unwrap().pending_departures.remove(&run);
+            shared.state.lock().pending_departures.remove(&run);
         });
     }
 }
--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -66,7 +66,7 @@
         frame: Frame,
     ) {
         if let Some(Peer::Control(vm)) = peer {
-            let mut state = self.state.lock().unwrap();
+            let mut state = self.state.lock();
             if let Some(control) = state.controls.get_mut(vm).filter(|p| p.number == number) {
                 control.last_received = Instant::now();
             }
@@ -86,7 +86,7 @@
                 version, revision, ..
             } => {
                 if let Some(Peer::Entry(vm)) = peer
-                    && let Some(entry) = self.state.lock().unwrap().entries.get_mut(vm)
+                    && let Some(entry) = self.state.lock().entries.get_mut(vm)
                 {
                     entry.version = entry.version.max(version);
                 }
@@ -108,13 +108,13 @@
             Frame::Usage(usage) => self.record_usage(peer.as_ref(), usage),
             Frame::Entries(entries) => {
                 if let Some(Peer::Control(vm)) = peer {
-                    let mut state = self.state.lock().unwrap();
+                    let mut state = self.state.lock();
                     state.entry_vms.set(vm, entries);
                 }
             }
             Frame::TokenRequest(request) => self.answer_token_request(link, request),
             Frame::Grant { spender, grant } => {
-                let state = self.state.lock().unwrap();
+                let state = self.state.lock();
                 if let Some(entry) = state.entries.get(&spender) {
                     entry.link.send(&Frame::Grant { spender, grant });
                 }
@@ -149,7 +149,7 @@
                 });
             }
             Frame::Reply { number, outcome } => {
-                let call = self.state.lock().unwrap().pending_calls.remove(&number);
+                let call = self.state.lock().pending_calls.remove(&number);
                 // Sending fails if the call has timed out.
                 let _ = call.map(|c| c.send(outcome));
             }
@@ -162,7 +162,7 @@
     /// description of one that is connected.
     pub(super) fn register_entry(&self, link: &Link, number: u64, entry: EntryVm, version: Version) {
         let view = self.view();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         state.own_entries_changed = true;
         if let Some(known) = state.entries.get_mut(&entry.vm).filter(|p| p.number == number) {
             known.entry = entry;
@@ -202,7 +202,7 @@
         if !dialed {
             link.send(&Frame::Control(self.local.clone()));
         }
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         let now = Instant::now();
         if let Some(known) = state.controls.get(&other.vm).filter(|p| p.number != number) {
             if known.is_preferred(now, &self.local.vm, &other.vm, dialed) {
@@ -241,7 +241,7 @@
     /// is connected to all.
     pub(super) fn merge_controls(&self, controls: Vec<ControlVm>) {
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         for other in controls.into_iter().filter(|c| c.vm != self.local.vm) {
             state.last_seen.insert(other.vm.clone(), now);
             state.known_controls.entry(other.vm.clone()).or_insert(other);
@@ -283,7 +283,7 @@
         if view.has_departed(&report.upstream, report.born) {
             return;
         }
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         let change = state.upstreams.announce(now, report.clone());
         if change == discovery::Change::Outdated {
             return;
@@ -308,7 +308,7 @@
     /// report; those of a control VM go to the entry VMs connected here.
     pub(super) fn forward_results(&self, from: Option<&Peer>, updates: Vec<HealthUpdate>) {
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         match from {
             Some(Peer::Entry(vm)) => {
                 let mut urgent = Vec::new();
@@ -329,7 +329,7 @@
 
     /// Stores the requests in flight that a VM reported.
     pub(super) fn record_in_flight(&self, from: Option<&Peer>, in_flight: Vec<(UpstreamId, u16)>) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         let in_flight = in_flight.into_iter().collect();
         match from {
             Some(Peer::Entry(vm)) => {
@@ -349,15 +349,14 @@
     /// Counts requests and retries; those of entry VMs are also reported to the other control VMs.
     pub(super) fn record_usage(&self, from: Option<&Peer>, usage: Vec<(ServiceId, Totals)>) {
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         for (service, totals) in &usage {
             state.usage.add(now, self.retry_window, service, *totals);
         }
         if matches!(from, Some(Peer::Entry(_))) {
             for (service, totals) in usage {
                 let sum = state.unsent_usage.entry(service).or_default();
-                sum.requests += totals.requests;
-                sum.repeats += totals.repeats;
+                sum.add(totals);
             }
         }
     }
@@ -383,7 +382,7 @@
         let now = Instant::now();
         let view = replication.read(Catalog::view);
         let spender = request.spender.clone();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         state.update_lease(now, &status, self.excess);
         let grant: Grant = match (state.lease, view.customers.get(&request.customer)) {
             (Some(lease), Some(customer)) => {
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -211,7 +211,8 @@
     pub(super) fn own_in_flight(&self) -> HashMap<UpstreamId, u16> {
         let mut own: HashMap<UpstreamId, u16> = HashMap::new();
         for (id, count) in self.entries.values().flat_map(|e| &e.in_flight) {
-            *own.entry(id.clone()).or_default() += count;
+            let sum = own.entry(id.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         own
     }
--- a/src/fleet/control_server/tick.rs
+++ b/src/fleet/control_server/tick.rs
@@ -35,7 +35,7 @@
     /// Sends a new configuration to the entry VMs that hold an older one.
     pub(super) fn push_config(self: &Arc<Self>) {
         let Some(view) = self.view() else { return };
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         if view.version <= state.pushed_version {
             return;
         }
@@ -62,7 +62,7 @@
     /// in [`CONTROL_REPORT_PERIODS`] periods also reports to the other control VMs.
     pub(super) fn send_reports(self: &Arc<Self>) {
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         state.report_periods += 1;
         if state.report_periods % CONTROL_REPORT_PERIODS == 0 {
             self.report_to_controls(&mut state);
@@ -70,7 +70,8 @@
         let totals = state.usage.totals(now, self.retry_window);
         let mut all = state.own_in_flight();
         for (id, count) in state.controls.values().flat_map(|c| &c.in_flight) {
-            *all.entry(id.clone()).or_default() += count;
+            let sum = all.entry(id.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         let all = Frame::InFlight(all.into_iter().collect());
         // Without totals, each entry VM keeps the bound by its own counts.
@@ -111,7 +112,7 @@
             return;
         };
         let status = replication.status();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         state.update_lease(now, &status, self.excess);
         state.send_to_all(None, &heartbeat(&status));
     }
@@ -119,7 +120,7 @@
     /// Removes expired upstreams and sends the lists that changed.
     pub(super) fn send_lists(self: &Arc<Self>) {
         let now = Instant::now();
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         let expired = state.upstreams.expire(now);
         if !expired.is_empty() {
             info!("upstreams expired: {expired:?}");
--- a/src/fleet/retry_budget.rs
+++ b/src/fleet/retry_budget.rs
@@ -76,9 +76,10 @@
 }
 
 impl Totals {
-    fn add(&mut self, other: Totals) {
-        self.requests += other.requests;
-        self.repeats += other.repeats;
+    /// Adds counts; those of a faulty peer may be of any size.
+    pub fn add(&mut self, other: Totals) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.repeats = self.repeats.saturating_add(other.repeats);
     }
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,6 +11,8 @@
 mod entry_list;
 #[path = "fleet/entry_vms.rs"]
 mod entry_vms;
+#[path = "fleet/extremes.rs"]
+mod extremes;
 #[path = "fleet/fallback_bucket.rs"]
 mod fallback_bucket;
 #[path = "fleet/floor.rs"]
