--- a/tests/support/selection_world.rs
+++ b/examples/selection_bench/world.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use smol_str::SmolStr;
+use zinnialoom::fleet::discovery::AnnouncedState;
 use zinnialoom::fleet::discovery::Announcement;
 use zinnialoom::fleet::discovery::UpstreamTable;
 use zinnialoom::fleet::health::HealthTable;
@@ -20,8 +21,6 @@
 use zinnialoom::fleet::upstream_selector::UpstreamSelector;
 use zinnialoom::id::UpstreamId;
 
-use crate::upstreams::report;
-
 const MS: Duration = Duration::from_millis(1);
 /// Time until a failure that one VM saw reaches the others.
 const FAILURE_DELAY: Duration = Duration::from_millis(25);
@@ -32,7 +31,10 @@
 const GRAY_SHARE: f64 = 0.3;
 /// Part of its requests that an upstream with a gray failure does not serve.
 const GRAY_FAILS: f64 = 0.75;
+const SERVICE: &str = "forecast";
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Requests that an upstream runs at the same time.
+const SLOTS: usize = 3;
 /// An upstream counts as sound when its last gray failure ended this long ago.
 const SOUND_AFTER: Duration = Duration::from_secs(2);
 /// Length of a window in which the sound upstreams must get requests.
@@ -70,6 +72,53 @@
     pub length: Duration,
 }
 
+/// A service of few upstreams.
+pub const SMALL: Deployment = Deployment {
+    vms: 40,
+    upstreams: 6,
+    rate: 30.0,
+    idempotent: 0.0,
+    work: Duration::from_millis(160),
+    overdue: Duration::from_millis(400),
+    deadline: Duration::from_millis(3_000),
+    gray: Gray::Hang,
+    cut: 0.0,
+    burst: 1.0,
+    length: Duration::from_secs(60),
+};
+
+/// A service as on a site of 48 entry VMs.
+pub const MEDIUM: Deployment = Deployment {
+    vms: 48,
+    upstreams: 19,
+    rate: 76.0,
+    work: Duration::from_millis(230),
+    overdue: Duration::from_millis(900),
+    ..SMALL
+};
+
+/// A service as on a site of 94 entry VMs.
+pub const GROWN: Deployment = Deployment {
+    vms: 94,
+    upstreams: 159,
+    rate: 576.0,
+    work: Duration::from_millis(260),
+    overdue: Duration::from_millis(900),
+    ..SMALL
+};
+
+/// Both kinds of gray failure, alone and with a burst and upstreams that some of the VMs cannot reach.
+pub fn variants(deployment: Deployment) -> impl Iterator<Item = Deployment> {
+    let kinds = [Gray::Hang, Gray::Reset];
+    let alone = kinds.map(|gray| Deployment { gray, ..deployment });
+    let disturbed = alone.map(|alone| Deployment {
+        cut: 0.3,
+        burst: 1.7,
+        ..alone
+    });
+    alone.into_iter().chain(disturbed)
+}
+
 /// What callers and upstreams saw.
 #[derive(Debug, Default)]
 pub struct Outcome {
@@ -84,9 +133,24 @@
 }
 
 impl Outcome {
-    /// Share of the requests that were not served.
-    pub fn unserved_share(&self) -> f64 {
-        (self.lost + self.refused) as f64 / self.requests as f64
+    /// Requests that were not served.
+    pub fn unserved(&self) -> usize {
+        self.lost + self.refused
+    }
+}
+
+/// The report of an upstream about itself; its address and failure domain follow from its number.
+fn announcement(name: &UpstreamId, number: usize) -> Announcement {
+    Announcement {
+        upstream: name.clone(),
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        domain: DOMAINS[number % 3].into(),
+        slots: SLOTS as u32,
+        state: AnnouncedState::Ready,
+        cold_ms: 0,
+        born: 1_000,
+        sequence: 1,
     }
 }
 
@@ -145,14 +209,7 @@
             .map(|n| SmolStr::from(format!("u{n}")))
             .collect();
         for (n, name) in names.iter().enumerate() {
-            let slots = 3;
-            table.announce(
-                start,
-                Announcement {
-                    slots,
-                    ..report(name, DOMAINS[n % 3])
-                },
-            );
+            table.announce(start, announcement(name, n));
         }
         let periods = deployment.length.as_secs() / GRAY_PERIOD.as_secs() + 2;
         let gray = (0..deployment.upstreams).map(|_| {
@@ -177,7 +234,7 @@
             names,
             gray,
             in_flight: vec![vec![0; deployment.upstreams]; deployment.vms],
-            slots: vec![vec![start; 3]; deployment.upstreams],
+            slots: vec![vec![start; SLOTS]; deployment.upstreams],
             requests: Vec::new(),
             served: Vec::new(),
             arrivals: Vec::new(),
@@ -262,7 +319,7 @@
     }
 
     fn attempt(&mut self, vm: usize, idempotent: bool, tried: &[UpstreamId]) {
-        let service = SmolStr::from("forecast");
+        let service = SmolStr::from(SERVICE);
         let criteria = Criteria {
             service: &service,
             may_test: idempotent,
--- a/src/fleet/upstream_selector.rs
+++ b/src/fleet/upstream_selector.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
+use self::retest::Retest;
 use crate::code::Code;
 use crate::fleet::discovery::AnnouncedState;
 use crate::fleet::discovery::ListedUpstream;
@@ -23,6 +24,8 @@
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
+mod retest;
+
 /// Share of the first attempts of idempotent requests that test an upstream.
 const TEST_SHARE: f64 = 0.4;
 /// An upstream without results for this long is tested even when the retry budget is used up: one that gets
@@ -64,16 +67,6 @@
 /// In a service without such tests, age of the last success from which the cost of staleness no longer grows. Beyond it, requests that must not
 /// test would queue at a few upstreams while others, whose successes have only aged, are idle.
 const STALENESS_MAX: Duration = Duration::from_secs(1);
-/// Time without results after which a suspect upstream of such a service is tested by a non-idempotent request.
-const RETEST_AFTER: Duration = Duration::from_millis(1_500);
-/// The same after a second failure in a row. Gray failures last for many seconds, and each test of one may lose
-/// a request.
-const RETEST_AFTER_FAILURES: Duration = Duration::from_secs(2);
-/// The same after a success, when the upstream has probably recovered.
-const RETEST_AFTER_SUCCESS: Duration = Duration::from_millis(200);
-/// Mean time until one VM of the fleet starts such a test, and between two of them while none has a result. About
-/// as long as the reports of requests in flight take, which keep the other VMs from a second test.
-const RETEST_SPACING: Duration = Duration::from_millis(250);
 /// Cost of an upstream that is slow after its start.
 const COLD_START_COST: f32 = 0.5;
 /// Number of random upstreams that are compared for a request.
@@ -134,18 +127,6 @@
     unanswered_at: Option<Instant>,
 }
 
-/// State of the tests of a suspect upstream by non-idempotent requests of this VM.
-#[derive(Debug, Clone, Copy)]
-struct Retest {
-    /// The last result of the fleet, to which the other fields refer.
-    updated: Instant,
-    /// Until when this VM has decided whether to test.
-    decided: Instant,
-    /// Least load since that result: requests that the upstream holds without an answer. A higher load is a
-    /// test.
-    held_load: f32,
-}
-
 /// Selects upstreams by the fleet's health records and by what this VM observed itself.
 #[derive(Debug)]
 pub struct UpstreamSelector {
@@ -203,14 +184,7 @@
         // Pauses only redirect requests: if all upstreams are paused, the request uses one all the same.
         let candidates = if unpaused.is_empty() { listed } else { unpaused };
         let health = |l: &ListedUpstream| table.health(now, &l.report.upstream);
-        if criteria.idempotent {
-            self.idempotent_at.insert(criteria.service.clone(), now);
-        }
-        let kind = match (criteria.idempotent, self.has_idempotent(now, criteria.service)) {
-            (true, _) => Kind::Idempotent,
-            (false, true) => Kind::NonIdempotent,
-            (false, false) => Kind::Untested,
-        };
+        let kind = self.kind(now, criteria);
         let is_first_idempotent = criteria.idempotent && criteria.tried.is_empty();
         if is_first_idempotent && self.rng.random_bool(TEST_SHARE) {
             let due_for_test: Vec<&ListedUpstream> = candidates
@@ -269,57 +243,17 @@
         (local + remote) / upstream.report.slots.max(1) as f32
     }
 
-    /// Whether idempotent requests test the upstreams of a service.
-    fn has_idempotent(&self, now: Instant, service: &ServiceId) -> bool {
-        let last = self.idempotent_at.get(service);
-        last.is_some_and(|at| now.saturating_duration_since(*at) < IDEMPOTENT_RECENT)
-    }
-
-    /// A suspect upstream that no request of the fleet tests although it may have recovered. Over the fleet
-    /// one test starts in [`RETEST_SPACING`] on average, and none while an earlier one has no result.
-    fn due_for_retest<'a>(
-        &mut self,
-        now: Instant,
-        table: &HealthTable,
-        candidates: &[&'a ListedUpstream],
-        vms: usize,
-    ) -> Option<&'a ListedUpstream> {
-        let spacing = RETEST_SPACING * u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
-        let mut due = Vec::new();
-        for upstream in candidates.iter().copied() {
-            let id = &upstream.report.upstream;
-            if table.health(now, id) != Health::Suspect {
-                continue;
-            }
-            let Some(updated) = table.updated_at(id) else {
-                continue;
-            };
-            let pause = match (table.successes(id), table.failures(id)) {
-                (1.., _) => RETEST_AFTER_SUCCESS,
-                (0, 0..=1) => RETEST_AFTER,
-                _ => RETEST_AFTER_FAILURES,
-            };
-            let load = self.load(upstream);
-            let retest = &mut self.locals.entry(id.clone()).or_default().retest;
-            let retest = match retest {
-                Some(retest) if retest.updated == updated => retest,
-                _ => retest.insert(Retest {
-                    updated,
-                    decided: updated + pause,
-                    held_load: load,
-                }),
-            };
-            retest.held_load = retest.held_load.min(load);
-            // By the time since the last decision, so that the rate of the fleet's tests depends neither on the
-            // number of VMs nor on how many requests each gets.
-            let undecided = now.saturating_duration_since(retest.decided);
-            retest.decided = retest.decided.max(now);
-            let chance = 1.0 - (-undecided.as_secs_f64() / spacing.as_secs_f64()).exp();
-            if load <= retest.held_load && self.rng.random_bool(chance) {
-                due.push(upstream);
-            }
+    /// The kind of a request. Notes when an idempotent one came, as these test the upstreams of their service.
+    fn kind(&mut self, now: Instant, criteria: &Criteria<'_>) -> Kind {
+        if criteria.idempotent {
+            self.idempotent_at.insert(criteria.service.clone(), now);
+            return Kind::Idempotent;
+        }
+        let last = self.idempotent_at.get(criteria.service);
+        match last.is_some_and(|at| now.saturating_duration_since(*at) < IDEMPOTENT_RECENT) {
+            true => Kind::NonIdempotent,
+            false => Kind::Untested,
         }
-        self.random(&due)
     }
 
     /// Of a few random upstreams, the one whose last failure is longest ago: it is the most likely to have
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -52,6 +52,7 @@
 mod forward;
 mod key;
 mod meter;
+mod notices;
 mod queue;
 mod request;
 mod response;
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -10,7 +10,6 @@
 use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
 
 use async_std::future;
 use async_std::io::WriteExt;
@@ -19,7 +18,6 @@
 use futures::future::Either;
 use futures::future::select;
 use log::info;
-use tide::http::StatusCode;
 
 use crate::answer;
 use crate::answer::ResponseHead;
@@ -32,8 +30,6 @@
 use crate::frame::BodyReader;
 use crate::frame::BufferedStream;
 use crate::id::UpstreamId;
-use crate::notice;
-use crate::notice::Notice;
 use crate::pool::ConnectError;
 use crate::pool::Connection;
 use crate::stage::AttemptResult;
@@ -44,6 +40,7 @@
 use super::Shared;
 use super::Stages;
 use super::forward;
+use super::notices;
 use super::request::AdmittedRequest;
 use super::response;
 
@@ -379,7 +376,7 @@
         if conventions.echoes_id && head.header(&conventions.id_header).is_none() {
             return invalid("the answer names no request");
         }
-        record_notices(shared, request, chosen, &head);
+        notices::record(shared, request, chosen, &head);
         let answer_header = conventions.answer_header.as_deref();
         if head.status.is_success() && answer_header.is_some_and(|name| head.header(name).is_none()) {
             return invalid("a success without the mark of an upstream");
@@ -408,37 +405,6 @@
     read_answer.await
 }
 
-/// Passes on what the upstream states about itself. An answer of another server at its address states nothing
-/// about it.
-fn record_notices<S: Stages>(
-    shared: &Shared<S>,
-    request: &AdmittedRequest,
-    chosen: &ChosenUpstream,
-    head: &ResponseHead,
-) {
-    let conventions = &shared.settings.conventions;
-    if conventions.not_run_status == Some(head.status as u16) {
-        return;
-    }
-    let leaving = conventions.leaving_header.as_deref();
-    let leaving = leaving
-        .and_then(|name| head.header(name))
-        .and_then(notice::read_leaving);
-    let is_unavailable = head.status == StatusCode::ServiceUnavailable;
-    let pause = head.header("retry-after").filter(|_| is_unavailable);
-    let pause = pause.and_then(|value| notice::read_retry_after(value, SystemTime::now()));
-    for notice in [leaving, pause].into_iter().flatten() {
-        shared.meter.count_notice(notice);
-        match notice {
-            Notice::Malformed(reason) => info!(
-                "header ignored: id={} upstream={} reason=\"{reason}\"",
-                request.id, chosen.upstream
-            ),
-            Notice::Leaving | Notice::Pause(_) => shared.stages.chooser.record_notice(chosen, notice),
-        }
-    }
-}
-
 /// Waits for the first byte of the answer until the deadline; false if the connection ended.
 ///
 /// Marks the request as overdue each time that `Chooser::overdue_after` has passed, and sets `silent` at
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,6 +3,8 @@
 
 #[path = "fleet/control_selector.rs"]
 mod control_selector;
+#[path = "support/control_vm.rs"]
+mod control_vm;
 #[path = "fleet/discovery.rs"]
 mod discovery;
 #[path = "fleet/edition.rs"]
@@ -39,7 +41,7 @@
 mod retry_budget;
 #[path = "support/seeds.rs"]
 mod seeds;
-#[path = "support/selection_world.rs"]
+#[path = "../examples/selection_bench/world.rs"]
 mod selection_world;
 #[path = "fleet/unconfirmed.rs"]
 mod unconfirmed;
--- a/tests/fleet/extremes.rs
+++ b/tests/fleet/extremes.rs
@@ -1,28 +1,22 @@
 //! Messages of a faulty peer that can be read but hold extreme values.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_std::future;
 use async_std::task;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 use zinnialoom::fleet::health::HealthUpdate;
-use zinnialoom::fleet::link;
-use zinnialoom::fleet::link::Link;
-use zinnialoom::fleet::link::Reader;
 use zinnialoom::fleet::message::CallOutcome;
 use zinnialoom::fleet::message::ControlVm;
-use zinnialoom::fleet::message::EntryVm;
 use zinnialoom::fleet::message::Frame;
-use zinnialoom::fleet::process::ControlProcess;
-use zinnialoom::fleet::process::ControlProcessSettings;
 use zinnialoom::fleet::retry_budget::Totals;
-use zinnialoom::grant::Excess;
 use zinnialoom::grant::SpendReport;
 use zinnialoom::grant::TokenRequest;
 use zinnialoom::quarantine::CrashRecord;
 
+use crate::control_vm::connect;
+use crate::control_vm::control;
+use crate::control_vm::hello;
 use crate::ports::free_address;
 use crate::upstreams::report;
 
@@ -93,52 +87,20 @@
     ]
 }
 
-async fn connect(address: SocketAddr, hello: Frame) -> (Link, Reader) {
-    let (link, reader) = link::connect(address).await.unwrap();
-    link.send(&hello);
-    (link, reader)
-}
-
-fn entry(vm: &str) -> Frame {
-    Frame::Entry {
-        entry: EntryVm {
-            vm: vm.into(),
-            domain: "a".into(),
-            caller: SocketAddr::from(([127, 0, 0, 1], 1)),
-            is_ready: true,
-        },
-        version: 0,
-    }
-}
-
 /// Guards against one message of a faulty peer after which a control VM serves nobody.
 #[async_std::test]
 async fn extreme_values_do_not_stop_a_control_vm() {
     let folder = tempfile::tempdir().unwrap();
     let address = free_address();
-    let vm = format_smolstr!("{address}");
-    let process = ControlProcess::open(ControlProcessSettings {
-        control: ControlVm {
-            vm: vm.clone(),
-            domain: "a".into(),
-        },
-        address,
-        seeds: vec![vm],
-        retry_window: Duration::from_secs(10),
-        excess: Excess::default(),
-        data_dir: folder.path().to_owned(),
-        is_bootstrap: true,
-    })
-    .await
-    .unwrap();
+    let process = control(address, folder.path(), true).await;
     process.server().announce(report("u1", "a")).await.unwrap();
     let other = Frame::Control(ControlVm {
         vm: "127.0.0.1:1".into(),
         domain: "b".into(),
     });
     let mut faulty = Vec::new();
-    for hello in [entry("e1"), entry("e2"), other] {
-        faulty.push(connect(address, hello).await);
+    for first in [hello("e1"), hello("e2"), other] {
+        faulty.push(connect(address, first).await);
     }
     for frame in extremes() {
         for (link, _) in &faulty {
@@ -149,7 +111,7 @@
         task::sleep(MS * 60).await;
     }
     task::sleep(MS * 400).await;
-    let (_link, mut reader) = connect(address, entry("healthy")).await;
+    let (_link, mut reader) = connect(address, hello("healthy")).await;
     let listed = future::timeout(Duration::from_secs(2), async {
         loop {
             if let Frame::Entries(entries) = reader.next().await.unwrap()
--- a/tests/fleet/leaving.rs
+++ b/tests/fleet/leaving.rs
@@ -1,75 +1,23 @@
 //! Upstreams that state in an answer to one entry VM that they leave.
 
-use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_std::future;
-use async_std::task;
-use smol_str::format_smolstr;
 use zinnialoom::fleet::discovery::Announcement;
-use zinnialoom::fleet::link;
-use zinnialoom::fleet::link::Link;
 use zinnialoom::fleet::link::Reader;
 use zinnialoom::fleet::message::ConfigUpdate;
-use zinnialoom::fleet::message::ControlVm;
-use zinnialoom::fleet::message::EntryVm;
 use zinnialoom::fleet::message::Frame;
-use zinnialoom::fleet::message::REVISION;
-use zinnialoom::fleet::process::ControlProcess;
-use zinnialoom::fleet::process::ControlProcessSettings;
-use zinnialoom::grant::Excess;
 
+use crate::control_vm::connect;
+use crate::control_vm::control;
+use crate::control_vm::hello;
 use crate::ports::free_address;
 use crate::upstreams::report;
 
 /// Limit for a departure to reach the other VMs: `drain_s` of the users' deployments.
 const LIMIT: Duration = Duration::from_secs(2);
 
-async fn control(address: SocketAddr, folder: &Path, is_bootstrap: bool) -> ControlProcess {
-    let vm = format_smolstr!("{address}");
-    let control = ControlVm {
-        vm: vm.clone(),
-        domain: "a".into(),
-    };
-    let settings = ControlProcessSettings {
-        control,
-        address,
-        seeds: vec![vm],
-        retry_window: Duration::from_secs(10),
-        excess: Excess::default(),
-        data_dir: folder.to_owned(),
-        is_bootstrap,
-    };
-    ControlProcess::open(settings).await.unwrap()
-}
-
-async fn connect(address: SocketAddr, vm: &str) -> (Link, Reader) {
-    let (link, reader) = link::connect(address).await.unwrap();
-    link.send(&Frame::Entry {
-        entry: EntryVm {
-            vm: vm.into(),
-            domain: "a".into(),
-            caller: SocketAddr::from(([127, 0, 0, 1], 1)),
-            is_ready: true,
-        },
-        version: 0,
-    });
-    let heartbeats = link.clone();
-    task::spawn(async move {
-        for _ in 0..30 {
-            heartbeats.send(&Frame::Heartbeat {
-                is_fresh: true,
-                version: 0,
-                revision: REVISION,
-            });
-            task::sleep(link::HEARTBEAT_PERIOD).await;
-        }
-    });
-    (link, reader)
-}
-
 /// Reads until the configuration says that `u1` has departed; false at the limit.
 async fn reads_departure(reader: &mut Reader, run_start: u64) -> bool {
     let end = Instant::now() + LIMIT;
@@ -96,8 +44,8 @@
     let folder = tempfile::tempdir().unwrap();
     let address = free_address();
     let process = control(address, folder.path(), true).await;
-    let (teller, _replies) = connect(address, "teller").await;
-    let (_link, mut other) = connect(address, "other").await;
+    let (teller, _replies) = connect(address, hello("teller")).await;
+    let (_link, mut other) = connect(address, hello("other")).await;
     let listed = report("u1", "a");
     let run_start = listed.born;
     process.server().announce(listed.clone()).await.unwrap();
@@ -118,7 +66,7 @@
     process.stop().await;
     drop(process);
     let process = control(address, folder.path(), false).await;
-    let (_link, mut later) = connect(address, "later").await;
+    let (_link, mut later) = connect(address, hello("later")).await;
     assert!(reads_departure(&mut later, run_start).await);
     // The next run under the same name is used.
     let next = Announcement {
--- a/tests/fleet/unconfirmed.rs
+++ b/tests/fleet/unconfirmed.rs
@@ -1,6 +1,5 @@
 //! An entry VM that restarts and connects to a control VM that missed changes, for example one that restarted too.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,7 +11,6 @@
 use zinnialoom::fleet::control_client::ControlClientSettings;
 use zinnialoom::fleet::link;
 use zinnialoom::fleet::message::ConfigUpdate;
-use zinnialoom::fleet::message::EntryVm;
 use zinnialoom::fleet::message::Frame;
 use zinnialoom::fleet::message::REVISION;
 use zinnialoom::fleet::retry_budget::RetryBound;
@@ -21,6 +19,8 @@
 use zinnialoom::timer::Timer;
 use zinnialoom::view::View;
 
+use crate::control_vm::entry;
+
 const MS: Duration = Duration::from_millis(1);
 
 fn heartbeat(is_fresh: bool) -> Frame {
@@ -47,12 +47,7 @@
     let control = listener.local_addr().unwrap();
     let timer = Timer::spawn();
     let settings = ControlClientSettings {
-        entry: EntryVm {
-            vm: "e1".into(),
-            domain: "a".into(),
-            caller: SocketAddr::from(([127, 0, 0, 1], 1)),
-            is_ready: true,
-        },
+        entry: entry("e1"),
         seeds: vec![format_smolstr!("{control}")],
         incarnation: 1,
         retry_bound: RetryBound {
