--- a/review/2/case.py
+++ b/review/2/case.py
@@ -44,7 +44,7 @@
     for number in range(int(FOR_S * PER_S)):
         target = TARGET if number % 2 else OTHER_TARGET
         entry = (number // 2) % 2
-        args = (entry, fleet.entry_address(entry), "POST", target, 3_000, b"years=1")
+        args = (entry, fleet.entry_address(entry), "POST", target, 3_000, b"years=%d" % number)
         threads.append(threading.Thread(target=client.send, args=args))
         threads[-1].start()
         time.sleep(1 / PER_S)
