--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -305,7 +305,7 @@
 
     def __init__(self, record):
         self.record, self.lock, self.count = record, threading.Lock(), 0
-        self.sent = {}
+        self.sent, self.answers = {}, {}
 
     def send(self, entry, address, method, path, deadline_ms, body=b""):
         with self.lock:
@@ -318,6 +318,8 @@
             answer = request(address, method, path, headers, body, deadline_ms / 1000 + 0.5)
         except OSError as e:
             answer = Answer(0, {}, b"", False, str(e))
+        with self.lock:
+            self.answers[number] = answer
         signed = answer.header("x-server-signature")
         self.record(
             f"client gets {number} status={answer.status} signature={signed} whole={answer.whole} {answer.error}"
@@ -447,14 +449,27 @@
             time.sleep(0.1)
         raise CannotRun("draining was not acknowledged")
 
-    def crash(self, down_s=None):
+    def leave(self):
+        """Deregisters and exits."""
+        for control in range(len(self.fleet.control_ips)):
+            try:
+                path = f"/v1/instances/{self.id}/deregister"
+                status, _ = self.fleet.call(control, "POST", path, {"born": self.born})
+            except OSError:
+                status = 0
+            self.record(f"server {self.id} deregisters at core-{control + 1}: {status}")
+            if status == 200:
+                break
+        self.crash(verb="exits")
+
+    def crash(self, down_s=None, verb="crashes"):
         """Resets all connections and ends; starts again as a new incarnation after `down_s`."""
         with self.lock:
             if not self.is_up:
                 return
             self.is_up = False
             connections, self.connections = self.connections, set()
-        self.record(f"server {self.id} crashes")
+        self.record(f"server {self.id} {verb}")
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         for conn in connections:
