Route a path as it was sent, with the last slash of its prefix

Now a prefix with a last slash matches only paths with that slash, one without still matches whole segments (the product's own routes), and the path is the one that was sent. A request on an open route whose resolved path leads to a route with keys needs a key. Ruled out: routing by the resolved path and forwarding it, as the path has to reach the upstream unchanged.

--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -330,7 +330,13 @@
     fn identify(&self, view: &View, request: &Request, trace: &mut Trace) -> Result<Identity> {
         let url = request.url();
         let host = url.host_str().unwrap_or_default();
-        let mut route = view.find_route(host, url.path()).ok_or(Code::NoRoute)?.clone();
+        let target = head::raw_target(request);
+        let path = target.split('?').next().unwrap_or_default();
+        // Upstreams get the path as it was sent, so it is routed as it was sent.
+        let mut route = view.find_route(host, path).ok_or(Code::NoRoute)?.clone();
+        // An upstream that resolves dot segments would otherwise run a request without a key that needs one.
+        let resolved = view.find_route(host, url.path());
+        route.open &= path == url.path() || resolved.is_none_or(|r| r.open);
         if let Some(service) = request::draw_service(&route.split) {
             route.service = service;
         }
--- a/src/view.rs
+++ b/src/view.rs
@@ -83,7 +83,8 @@
     /// Host of the route; empty for all hosts that have no route for the path.
     #[serde(default)]
     pub host: SmolStr,
-    /// Path prefix, such as `/forecast`; it matches whole path segments.
+    /// Path prefix, such as `/forecast`; it matches whole path segments. One that ends with a slash matches only
+    /// paths that contain this slash.
     pub prefix: SmolStr,
     /// Service that runs the requests.
     pub service: ServiceId,
@@ -221,7 +222,7 @@
     }
 
     /// The route of a path (without its query) among the routes for any host: the one with the longest prefix
-    /// of whole segments.
+    /// that matches.
     pub fn route(&self, path: &str) -> Option<&Route> {
         self.route_on("", path)
     }
@@ -234,14 +235,18 @@
     }
 
     fn route_on(&self, host: &str, path: &str) -> Option<&Route> {
-        let mut end = path.len();
-        while end > 0 {
-            if let Some(route) = self.route_at(host, &path[..end]) {
+        let mut prefix = path;
+        while !prefix.is_empty() {
+            if let Some(route) = self.route_at(host, prefix) {
                 return Some(route);
             }
-            end = path[..end].rfind('/').unwrap_or(0);
+            // The next shorter prefix of whole segments, with its last slash before it is tried without.
+            prefix = match prefix.strip_suffix('/') {
+                Some(shorter) => shorter,
+                None => &prefix[..prefix.rfind('/').map_or(0, |slash| slash + 1)],
+            };
         }
-        self.route_at(host, "/").filter(|_| path.starts_with('/'))
+        None
     }
 
     fn route_at(&self, host: &str, prefix: &str) -> Option<&Route> {
@@ -265,9 +270,8 @@
 
     /// Whether the path lies under the prefix.
     pub fn matches(&self, path: &str) -> bool {
-        let prefix = self.prefix.trim_end_matches('/');
-        path.strip_prefix(prefix)
-            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+        path.strip_prefix(self.prefix.as_str())
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || self.prefix.ends_with('/'))
     }
 
     /// Time limit of a request that states none; `None` for the one in the VM's settings.
--- a/tests/path/keys.rs
+++ b/tests/path/keys.rs
@@ -27,6 +27,32 @@
     (status, code.number(), "no".into())
 }
 
+/// Guards against a request that gets the route, and so the service, of another path than the one that its upstream
+/// gets, and against dot segments that lead around a key.
+#[async_std::test]
+async fn a_path_with_dot_segments_is_routed_as_it_was_sent() {
+    let standin = standin().await;
+    let entry = Entry::start(&[standin.address()]).await;
+    for path in [
+        "/forecast/%2e%2e/open/age",
+        "/forecast/../open/age",
+        "/open/%2e%2e/forecast/age",
+    ] {
+        let answer = entry.send_request("GET", path, "").await;
+        assert_eq!(status(&answer), 200, "{path}: {answer}");
+        let head = format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+        assert_eq!(status(&entry.send(head).await), 401, "{path} without a key");
+    }
+    for ran in standin.journal() {
+        assert_eq!(ran.customer, "soum", "{}", ran.path);
+    }
+    let answer = entry
+        .send_request("GET", "/nowhere/%2e%2e/forecast/age", "")
+        .await;
+    assert_eq!(outcome(&answer), refused(404, Code::NoRoute));
+    assert_eq!(standin.journal().len(), 3);
+}
+
 /// Guards against forwarding a caller's key to an upstream, wherever in the request it stands (P3).
 #[async_std::test]
 async fn keys_never_reach_an_upstream() {
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -47,6 +47,28 @@
     }
 }
 
+/// Guards against a request that gets the kind of a route whose prefix, with its last slash, does not begin its
+/// path: a non-idempotent one could run twice.
+#[test]
+fn a_prefix_with_a_last_slash_needs_this_slash_in_the_path() {
+    let view = view(&["/", "/a/", "/a/b/", "/c", "/c/"]);
+    for (path, expected) in [
+        ("/a/b", "/a/"),
+        ("/a/b/", "/a/b/"),
+        ("/a/b/c", "/a/b/"),
+        ("/a/bc", "/a/"),
+        ("/a", "/"),
+        ("/ab/", "/"),
+        ("/c", "/c"),
+        ("/c/", "/c/"),
+        ("/c/x", "/c/"),
+        ("//", "/"),
+    ] {
+        let found = view.route(path).map(|r| r.prefix.as_str());
+        assert_eq!(found, Some(expected), "{path}");
+    }
+}
+
 /// Guards against a path without a longer prefix that gets no route although there is a root route.
 #[test]
 fn the_root_prefix_takes_the_rest() {
@@ -63,9 +85,11 @@
         let mut prefixes: Vec<String> = prefix_segments.chunks(3).map(join).collect();
         prefixes.sort();
         prefixes.dedup();
+        let prefixes: Vec<String> = prefixes.iter().flat_map(|p| [p.clone(), format!("{p}/")]).skip(1).collect();
         let prefixes: Vec<&str> = prefixes.iter().map(String::as_str).collect();
         let view = view(&prefixes);
-        let path = join(&path[..path.len().min(5)]);
+        let slash = if path.len() % 2 == 0 { "/" } else { "" };
+        let path = join(&path[..path.len().min(5)]) + slash;
         view.route(&path) == view.routes.iter().find(|r| r.matches(&path))
     }
 }
