Leave an upstream that left while a request waited for a connection

Cause: Pool::acquire waits for a connection of the chosen upstream up to the deadline of the request, and nothing looked again at whether the upstream had left or asked for a pause.

--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -191,6 +191,12 @@
     }
 
     fn finish(&self, chosen: ChosenUpstream, sample: Sample) {
+    fn is_available(&self, chosen: &ChosenUpstream) -> bool {
+        let state = self.shared.state.lock();
+        let (id, run_start) = (&chosen.upstream, chosen.run_start);
+        state.selector.is_available(Instant::now(), id, run_start) && !state.view.has_departed(id, run_start)
+    }
+
         let now = Instant::now();
         let mut state = self.shared.state.lock();
         let target = state.target_seconds(&sample.route);
--- a/src/fleet/upstream_selector.rs
+++ b/src/fleet/upstream_selector.rs
@@ -409,6 +409,11 @@
         self.leaving.retain(|id, run_start| is_needed(id, *run_start));
     }
 
+    /// Whether requests may be sent to a run of an upstream: it has not stated that it leaves or wants a pause.
+    pub fn is_available(&self, now: Instant, id: &UpstreamId, run_start: u64) -> bool {
+        !self.is_leaving(id, run_start) && !self.is_closed(now, id)
+    }
+
     /// Sets how many requests the other VMs have in flight.
     pub fn set_remote_in_flight(&mut self, id: &UpstreamId, count: f32) {
         self.remote_in_flight.insert(id.clone(), count);
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -44,6 +44,9 @@
     /// Opening the connection took too long.
     #[display("connect: no answer")]
     Late,
+    /// The upstream has left, or wants no requests, since it was chosen.
+    #[display("the upstream takes no more requests")]
+    Unavailable,
 }
 
 /// Connections to one upstream.
--- a/tests/path/fakes.rs
+++ b/tests/path/fakes.rs
@@ -89,6 +89,8 @@
     pub overdue_after: Mutex<Option<Duration>>,
     /// Notices passed to `Chooser::record_notice`.
     pub notices: Mutex<Vec<Notice>>,
+    /// Upstreams for which `Chooser::is_available` is false.
+    pub left: Mutex<Vec<SocketAddr>>,
 }
 
 pub struct FakeStages;
@@ -166,6 +168,10 @@
         })
     }
 
+    fn is_available(&self, chosen: &ChosenUpstream) -> bool {
+        !self.left.lock().unwrap().contains(&chosen.address)
+    }
+
     fn finish(&self, _chosen: ChosenUpstream, sample: Sample) {
         self.in_flight.fetch_sub(1, Ordering::SeqCst);
         self.results.lock().unwrap().push(sample.result);
@@ -307,6 +313,7 @@
             reuse_timeout: Mutex::new(Duration::from_millis(250)),
             overdue_after: Mutex::default(),
             notices: Mutex::default(),
+            left: Mutex::default(),
         });
         let stages = StageSet {
             config: fakes.clone(),
--- a/tests/path/notices.rs
+++ b/tests/path/notices.rs
@@ -1,8 +1,12 @@
 //! What upstreams state about themselves in answers: that they leave, or want no request for a while.
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 
+use async_std::task;
 use zinnialoom::notice;
 use zinnialoom::notice::MAX_PAUSE;
 use zinnialoom::notice::Malformed;
@@ -13,6 +17,10 @@
 use crate::script::Line;
 use crate::script::Script;
 use crate::script::Step::Answer;
+use crate::script::Step::Read;
+use crate::script::Step::Wait;
+
+const ANSWER: &str = "HTTP/1.1 200 -\r\ncontent-length: 2\r\n\r\nok";
 
 const LEAVING: &str = "HTTP/1.1 200 -\r\nserver-leaving: 1\r\ncontent-length: 2\r\n\r\nok";
 const STAYING: &str = "HTTP/1.1 200 -\r\nserver-leaving: 0\r\ncontent-length: 2\r\n\r\nok";
@@ -78,3 +86,37 @@
     }
     assert_eq!(read(&"9".repeat(1 << 20)), malformed(Malformed::Long));
 }
+
+/// Guards against requests that are sent to an upstream long after it left, because they waited for a connection to
+/// it, and against requests that wait for it although another one is free.
+#[async_std::test]
+async fn requests_that_wait_for_a_connection_leave_an_upstream_that_left() {
+    static SLOW: &[Line] = &[&[Read(1), Wait(1_200), Answer(ANSWER)]];
+    let leaving = Script::start(SLOW).await;
+    let staying = Script::start(&[&[Answer(ANSWER)]]).await;
+    let entry = Arc::new(Entry::start(&[leaving.address]).await);
+    entry.fakes.connections.store(1, Ordering::SeqCst);
+    let send = |entry: Arc<Entry>| async move {
+        let started = Instant::now();
+        let answer = entry
+            .send_request("POST", "/forecast", "content-length: 0\r\n")
+            .await;
+        (status(&answer), started.elapsed())
+    };
+    let first = task::spawn(send(entry.clone()));
+    task::sleep(Duration::from_millis(200)).await;
+    let waiting: Vec<_> = (0..3).map(|_| task::spawn(send(entry.clone()))).collect();
+    task::sleep(Duration::from_millis(200)).await;
+    *entry.fakes.upstreams.lock().unwrap() = vec![leaving.address, staying.address];
+    *entry.fakes.left.lock().unwrap() = vec![leaving.address];
+    for request in waiting {
+        let (status, time) = request.await;
+        assert_eq!(status, 200);
+        assert!(
+            time < Duration::from_millis(900),
+            "{time:?}, although another upstream is free"
+        );
+    }
+    assert_eq!(first.await.0, 200, "the request that was sent before ends");
+    assert_eq!((leaving.requests(), staying.requests()), (1, 3));
+}
