Count an end inside an answer as a possible crash

Cause: only ends before the head of the answer were reported. Besides, the head of a long answer took back a crash before the answer had ended.

Now an end inside a short or a long answer is reported as well, and a crash is taken back only by an answer that was read to its end. An upstream that cuts answers of sound requests is told from a crash as before: by the number (three within 10 min) and by later whole answers.

--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -20,6 +20,7 @@
 use tide::http::StatusCode;
 
 use crate::answer;
+use crate::answer::ResponseHead;
 use crate::code::Code;
 use crate::code::Execution;
 use crate::error::Error;
@@ -152,10 +153,6 @@
             None => progress.open_fallback.take(),
         };
         if let Some((flight, answer)) = answered {
-            // An upstream that fails requests may answer with an error before it runs them.
-            if !answer.head.status.is_server_error() {
-                self.stages.quarantine.record_answer(&request.fingerprint);
-            }
             return self.answer(&request, flight, ticket, answer).await;
         }
         let may_have_run = request.may_have_run();
@@ -380,25 +377,36 @@
 
     /// Reports a possible crash of the upstream if the connection died. The report precedes the answer, after
     /// which the caller may send the request again.
-    async fn report_crash(&self, request: &AdmittedRequest, flight: &InFlight<S>, result: AttemptResult) {
+    pub(super) async fn report_crash(
+        &self,
+        request: &AdmittedRequest,
+        flight: &InFlight<S>,
+        result: AttemptResult,
+    ) {
         // A reused connection may also have ended because it was idle for too long; the next attempt, on a new
         // connection, is answered then, and its answer counts against the crash.
-        let is_reported = matches!(result, AttemptResult::Died | AttemptResult::Stale);
-        if matches!(
+        if !matches!(
             result,
             AttemptResult::Died | AttemptResult::Cut | AttemptResult::Stale
         ) {
-            self.meter.count_mid_request_end(result);
-            info!(
-                "connection ended in mid-request: id={} upstream={} result={result} fingerprint={} reported={is_reported}",
-                request.id,
-                flight.upstream().unwrap_or_default(),
-                request.short_fingerprint()
-            );
+            return;
         }
-        if is_reported {
-            let report = self.stages.quarantine.report(&request.fingerprint);
-            let _ = future::timeout(CRASH_REPORT_TIMEOUT, report).await;
+        self.meter.count_mid_request_end(result);
+        info!(
+            "connection ended in mid-request: id={} upstream={} result={result} fingerprint={}",
+            request.id,
+            flight.upstream().unwrap_or_default(),
+            request.short_fingerprint()
+        );
+        let report = self.stages.quarantine.report(&request.fingerprint);
+        let _ = future::timeout(CRASH_REPORT_TIMEOUT, report).await;
+    }
+
+    /// Takes back a crash of an upstream after an answer that was read to its end. An upstream that fails requests
+    /// may answer with an error before it runs them.
+    pub(super) fn record_answer(&self, request: &AdmittedRequest, head: &ResponseHead) {
+        if !head.status.is_server_error() {
+            self.stages.quarantine.record_answer(&request.fingerprint);
         }
     }
 
@@ -413,6 +421,7 @@
         let latency = flight.timing.latency;
         let open = match answer.body {
             AnswerBody::Full(_) => {
+                self.record_answer(request, &answer.head);
                 self.finish_answered(&answer, ticket).await;
                 let failed = answer.head.status.is_server_error();
                 flight.end(if failed {
--- a/src/proxy/stream.rs
+++ b/src/proxy/stream.rs
@@ -144,11 +144,19 @@
     let shared = &guard.0;
     let is_complete = read.is_ok();
     let result = match read {
-        Ok(()) if open.head.status.is_server_error() => AttemptResult::Failed,
-        Ok(()) => AttemptResult::Answered,
+        Ok(()) => {
+            shared.record_answer(&open.request, &open.head);
+            match open.head.status.is_server_error() {
+                true => AttemptResult::Failed,
+                false => AttemptResult::Answered,
+            }
+        }
         Err(interruption) => {
             let upstream = open.flight.upstream().unwrap_or_default();
             answer::log_incomplete(&open.request.id, &upstream, &interruption.reason);
+            shared
+                .report_crash(&open.request, &open.flight, interruption.result)
+                .await;
             interruption.result
         }
     };
--- a/tests/path/quarantine.rs
+++ b/tests/path/quarantine.rs
@@ -84,3 +84,22 @@
         assert_eq!(distinct.len(), count, "host {host}: {reports:?}");
     }
 }
+
+/// Guards against a request that is never blocked because its upstreams crash inside their answers, short ones and
+/// long ones.
+#[async_std::test]
+async fn an_end_inside_an_answer_is_reported() {
+    const CUT_SHORT: &str = "HTTP/1.1 200 -\r\ncontent-length: 1200\r\n\r\nfirst part";
+    const CUT_LONG: &str = "HTTP/1.1 200 -\r\ncontent-length: 100000\r\n\r\nfirst part";
+    for answer in [CUT_SHORT, CUT_LONG] {
+        let lines: &'static [Line] = vec![vec![Answer(answer)].leak() as Line].leak();
+        let script = Script::start(lines).await;
+        let entry = Entry::start(&[script.address]).await;
+        entry
+            .send_request("POST", "/forecast", "content-length: 0\r\n")
+            .await;
+        let reports = entry.fakes.reports.lock().unwrap().len();
+        let answers = entry.fakes.answers.load(Ordering::SeqCst);
+        assert_eq!((reports, answers), (1, 0), "{answer:?}");
+    }
+}
