End the role of a leader with its lease, also while its disk stalls

Cause: the thread that owns the replica waits for the disk, and the status that the other threads read was written only afterwards. So the VM granted tokens, and told its entry VMs that it had a leader, beside the leader that the others had elected.

Now the status holds until a time: on a leader an election timeout after the start of the latest heartbeat round that a majority answered, as these grant no pre-vote until then; on a follower until its own election timeout. After that it names no leader. The start of the round counts, not the arrival of the answers, which may have waited in a queue. Ruled out: a lease by the time of the last handled message, for that reason.

--- a/src/replica.rs
+++ b/src/replica.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -253,6 +254,8 @@
     reported_role: (Role, Term, Option<VmName>),
     rng: StdRng,
     outputs: Vec<Output>,
+    /// Recent heartbeat rounds of the leader and when they were sent, oldest first.
+    round_starts: VecDeque<(u64, Instant)>,
 }
 
 impl Replica {
@@ -282,6 +285,7 @@
             rng: StdRng::seed_from_u64(seed),
             outputs: Vec::new(),
         };
+            round_starts: VecDeque::new(),
         replica.reset_deadline(now);
         if replica.settings.is_dynamic {
             // After a restart of the whole group there is no leader. The pre-vote prevents a replica that
@@ -330,6 +334,15 @@
         }
         // With dynamic membership, a voter may have been removed while it was unreachable, so that its own
         // log still lists it as a voter.
+    /// Until when role and leader in [`Replica::status`] hold without another input. After that, another replica
+    /// may have been elected. `None` if no leader is known, or the leader has no majority's confirmation yet.
+    pub fn leader_until(&self, now: Instant) -> Option<Instant> {
+        match self.role {
+            Role::Leader => self.lease_end(now),
+            _ => self.leader.as_ref().map(|_| self.election_deadline),
+        }
+    }
+
         if !self.is_voter() || self.settings.is_dynamic {
             self.send_join_requests(now);
         }
--- a/src/replica/leader.rs
+++ b/src/replica/leader.rs
@@ -17,6 +17,10 @@
 /// A message without an answer is sent again after this many heartbeat intervals.
 const RESEND_HEARTBEATS: u32 = 2;
 
+/// Number of heartbeat rounds per election timeout whose start is recorded. Reads start rounds as well, so that
+/// there can be many more.
+const ROUND_RECORDS: u32 = 16;
+
 /// Replication state of another replica, kept by the leader.
 pub(super) struct Progress {
     /// Last entry known to be synced on the replica and equal to the leader's.
@@ -54,6 +58,7 @@
         self.leader_contact = None;
         self.incoming_snapshot = None;
         self.heartbeat_round = 0;
+        self.round_starts.clear();
         self.progress.clear();
         self.update_progress(now, self.log.last() + 1);
         self.propose_content(now, Content::Empty);
@@ -130,6 +135,7 @@
         self.heartbeat_due = now + self.settings.heartbeat_interval;
         let round = self.heartbeat_round;
         for member in self.other_members() {
+        self.record_round(now, round);
             let matched = self.progress.get(&member.id).map_or(0, |p| p.match_index);
             let commit = self.commit_index.min(matched);
             self.send(member, Message::Heartbeat { commit, round });
@@ -137,6 +143,40 @@
     }
 
     /// Sends entries or the next part of a snapshot to each replica that has no unanswered message.
+    /// Records when a round was sent, once in [`ROUND_RECORDS`]th of the election timeout.
+    fn record_round(&mut self, now: Instant, round: u64) {
+        let timeout = self.settings.election_timeout;
+        let is_due = |(_, at): &(u64, Instant)| now.saturating_duration_since(*at) >= timeout / ROUND_RECORDS;
+        if self.round_starts.back().is_none_or(is_due) {
+            self.round_starts.push_back((round, now));
+        }
+        while self
+            .round_starts
+            .front()
+            .is_some_and(|(_, at)| now.saturating_duration_since(*at) >= timeout)
+        {
+            self.round_starts.pop_front();
+        }
+    }
+
+    /// Until when no other replica can be elected: an election timeout after the start of the latest round that a
+    /// majority has answered, as its replicas grant no pre-vote until then. `None` before the first such round.
+    pub(super) fn lease_end(&self, now: Instant) -> Option<Instant> {
+        let membership = self.log.membership()?;
+        let answered = |id: ReplicaId| {
+            if id == self.hard_state.id {
+                return Some(now);
+            }
+            let acked = self.progress.get(&id)?.acked_round;
+            let mut starts = self.round_starts.iter().rev();
+            starts.find(|(round, _)| *round <= acked).map(|(_, at)| *at)
+        };
+        let mut starts: Vec<Option<Instant>> = membership.voters.iter().map(|m| answered(m.id)).collect();
+        starts.sort_unstable_by(|a, b| b.cmp(a));
+        let start = starts.get(membership.majority() - 1).copied().flatten()?;
+        Some(start + self.settings.election_timeout)
+    }
+
     fn replicate(&mut self, now: Instant) {
         for member in self.other_members() {
             let Some(mut progress) = self.progress.remove(&member.id) else {
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -43,6 +43,7 @@
 use crate::replica::Replica;
 use crate::replica::ReplicaSettings;
 use crate::replica::ReplicaStatus;
+use crate::replica::Role;
 use crate::replica::StoredState;
 use crate::rpc::Client;
 use crate::secret::Secret;
@@ -122,10 +123,37 @@
     Stop,
 }
 
+/// The status of a replica, with the time after which it names no leader. The worker cannot update it while it waits
+/// for the disk, and another replica may be elected meanwhile.
+struct TimedStatus {
+    status: ReplicaStatus,
+    leader_until: Option<Instant>,
+}
+
+impl TimedStatus {
+    fn of(replica: &Replica) -> Self {
+        Self {
+            status: replica.status(),
+            leader_until: replica.leader_until(Instant::now()),
+        }
+    }
+
+    fn at(&self, now: Instant) -> ReplicaStatus {
+        let mut status = self.status.clone();
+        if self.leader_until.is_none_or(|until| now >= until) {
+            status.leader = None;
+            if status.role == Role::Leader {
+                status.role = Role::Follower;
+            }
+        }
+        status
+    }
+}
+
 /// State that the handles and the worker share.
 struct Shared<M> {
     machine: Mutex<M>,
-    status: Mutex<ReplicaStatus>,
+    status: Mutex<TimedStatus>,
     /// The error that stopped the worker.
     failure: Mutex<Option<Error>>,
 }
@@ -188,7 +216,7 @@
         let replica = Replica::new(settings, stored, Instant::now(), random_u64()?);
         let shared = Arc::new(Shared {
             machine: Mutex::new(machine),
-            status: Mutex::new(replica.status()),
+            status: Mutex::new(TimedStatus::of(&replica)),
             failure: Mutex::default(),
         });
         let (events, event_receiver) = channel::bounded(EVENT_QUEUE_LENGTH);
@@ -247,9 +275,10 @@
         f(&self.shared.machine.lock().unwrap())
     }
 
-    /// Role, term, leader, indexes and membership.
+    /// Role, term, leader, indexes and membership. Role and leader hold at the time of the call, also while the
+    /// replica waits for its disk: a leader whose term another replica may have ended is no leader here.
     pub fn status(&self) -> ReplicaStatus {
-        self.shared.status.lock().unwrap().clone()
+        self.shared.status.lock().unwrap().at(Instant::now())
     }
 
     /// The error that stopped the replica: a failed disk or a damaged snapshot.
--- a/src/replication/worker.rs
+++ b/src/replication/worker.rs
@@ -12,6 +12,7 @@
 use super::ReplySender;
 use super::Shared;
 use super::StateMachine;
+use super::TimedStatus;
 use super::Transport;
 use crate::code::Code;
 use crate::error::Error;
@@ -29,7 +30,6 @@
 use crate::replica::Input;
 use crate::replica::Output;
 use crate::replica::Replica;
-use crate::replica::Role;
 use crate::replica::Snapshot;
 
 /// Applied entries between snapshots.
@@ -151,7 +151,7 @@
                 .flat_map(|i| self.replica.step(now, i))
                 .collect();
         }
-        *self.shared.status.lock().unwrap() = self.replica.status();
+        *self.shared.status.lock().unwrap() = TimedStatus::of(&self.replica);
         Ok(())
     }
 
@@ -295,8 +295,7 @@
     fn drop(&mut self) {
         self.events.close();
         if let Ok(mut status) = self.shared.status.lock() {
-            status.role = Role::Follower;
-            status.leader = None;
+            status.leader_until = None;
         }
     }
 }
--- a/tests/failpoints.rs
+++ b/tests/failpoints.rs
@@ -6,13 +6,17 @@
 use std::path::Path;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
+use async_std::task;
 use zinnialoom::code::Code;
 use zinnialoom::journal::Journal;
 use zinnialoom::replica::Content;
 use zinnialoom::replica::Entry;
 use zinnialoom::replica::HardState;
 use zinnialoom::replica::Membership;
+use zinnialoom::replica::Role;
 use zinnialoom::replica::Snapshot;
 
 use self::group::Group;
@@ -199,3 +203,40 @@
     assert!(SENT.load(Ordering::Relaxed) > 40);
     assert_eq!(SENT_BEFORE_SYNC.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against a leader that still counts as one while its disk stalls and another replica leads: both would grant
+/// the tokens of all customers.
+#[async_std::test]
+async fn a_leader_whose_disk_stalls_is_none_when_another_leads() {
+    const STALL: Duration = Duration::from_secs(2);
+    let scenario = fail::FailScenario::setup();
+    let group = Group::new(3);
+    let vms = group.start_all().await;
+    propose(&vms.iter().collect::<Vec<_>>(), "a").await;
+    let leaders = || -> Vec<usize> {
+        let leads = |n: &usize| vms[*n].replication.status().role == Role::Leader;
+        (0..vms.len()).filter(leads).collect()
+    };
+    wait_for("a leader", || leaders().len() == 1).await;
+    let stalled = leaders()[0];
+    fail::cfg("replication::before_sync", "1*sleep(2000)").unwrap();
+    let started = Instant::now();
+    let replication = vms[stalled].replication.clone();
+    let proposal = task::spawn(async move { replication.propose(b"b".to_vec()).await });
+    let mut next = None;
+    while started.elapsed() < STALL {
+        let current = leaders();
+        assert!(
+            current.len() < 2,
+            "{current:?} lead at once, {stalled} is stalled"
+        );
+        next = next.or(current.first().copied().filter(|n| *n != stalled));
+        task::sleep(Duration::from_millis(2)).await;
+    }
+    assert!(next.is_some(), "no other replica was elected in {STALL:?}");
+    let _ = proposal.await;
+    for vm in vms {
+        vm.stop().await;
+    }
+    scenario.teardown();
+}
