Bound the log, its deltas and what is applied at once by size

What callers saw: after some 175 configurations of over 3,000 routes the platform ended one control process after the other for its memory; after a restart of all nothing was served and the acknowledged configuration could not be read (review, case 1: RECOVER and CONFIG on 3 of 3 seeds).

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -41,6 +41,8 @@
 /// Maximum number of recent deltas that are kept; an entry VM that is further behind fetches the whole
 /// configuration.
 pub const MAX_TAIL_DELTAS: usize = 2_000;
+/// Maximum number of edits in these deltas: a change that replaces the whole configuration has thousands.
+pub const MAX_TAIL_EDITS: usize = 10_000;
 /// Longest change id, in bytes.
 pub const MAX_CHANGE_ID_BYTES: usize = 128;
 
@@ -179,8 +181,12 @@
             }
         }
         self.tail.push_back(delta);
-        while self.tail.len() > MAX_TAIL_DELTAS {
-            self.tail_base = self.tail.pop_front().map_or(self.tail_base, |d| d.version);
+        let mut edits: usize = self.tail.iter().map(|d| d.edits.len()).sum();
+        while (self.tail.len() > MAX_TAIL_DELTAS || edits > MAX_TAIL_EDITS)
+            && let Some(oldest) = self.tail.pop_front()
+        {
+            edits -= oldest.edits.len();
+            self.tail_base = oldest.version;
         }
     }
 }
--- a/src/journal/load.rs
+++ b/src/journal/load.rs
@@ -70,6 +70,7 @@
             let is_last = numbers.last() == Some(&number);
             self.load_segment(number, is_last, &mut replay)?;
         }
+        self.remove_before_gap(replay.base)?;
         let Some(hard_state) = replay.hard_state else {
             if snapshot.is_some() {
                 let path = self.folder.join(SNAPSHOT_FILE);
@@ -106,12 +107,30 @@
             numbers.extend(number.and_then(|n| u64::from_str_radix(n, 16).ok()));
         }
         numbers.sort_unstable();
-        if let Some(gap) = numbers.windows(2).find(|w| w[0] + 1 != w[1]) {
-            return Err(corrupt(&self.path(gap[0] + 1), 0, "the segment is missing"));
-        }
         Ok(numbers)
     }
 
+    /// Removes the segments before a gap in their numbers. A power loss can keep some of the segments that were
+    /// deleted after a snapshot, and not the later ones.
+    ///
+    /// # Errors
+    /// `Corrupt` if one of them has entries that the snapshot does not cover.
+    fn remove_before_gap(&mut self, base: Index) -> Result<()> {
+        let numbers: Vec<u64> = self.segments.iter().map(|s| s.number).collect();
+        let Some(gap) = numbers.windows(2).rposition(|w| w[0] + 1 != w[1]) else {
+            return Ok(());
+        };
+        if self.segments[..=gap].iter().any(|s| s.last_index > base) {
+            return Err(corrupt(&self.path(numbers[gap] + 1), 0, "the segment is missing"));
+        }
+        for segment in self.segments.drain(..=gap).collect::<Vec<_>>() {
+            let path = self.path(segment.number);
+            log::warn!("{}: removed, as the snapshot covers it", path.display());
+            fs::remove_file(&path).map_err(|e| Error::io(path.display(), &e))?;
+        }
+        Ok(())
+    }
+
     fn load_snapshot(&self) -> Result<Option<Snapshot>> {
         let path = self.folder.join(SNAPSHOT_FILE);
         if !path.exists() {
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -47,6 +47,10 @@
 /// the replicas connect within about 50 ms, and nothing is served before there is a leader.
 const STARTUP_TIMEOUT_DIVISOR: u32 = 8;
 
+/// Size of committed entries after which one step ends. Applying large entries takes so long that the heartbeats
+/// between them must be handled.
+const COMMIT_STEP_BYTES: usize = 1 << 20;
+
 /// Settings of a replica.
 #[derive(Debug, Clone)]
 pub struct ReplicaSettings {
@@ -70,6 +74,8 @@
     /// Entries before the snapshot that stay in memory, so that a follower slightly behind needs no
     /// snapshot.
     pub retained_entries: u64,
+    /// Largest size of these entries, in bytes.
+    pub retained_bytes: usize,
 }
 
 impl ReplicaSettings {
@@ -90,6 +96,7 @@
             batch_bytes: 128 << 10,
             chunk_bytes: 256 << 10,
             retained_entries: 1_000,
+            retained_bytes: 1 << 20,
         }
     }
 }
@@ -247,6 +254,8 @@
     progress: BTreeMap<ReplicaId, Progress>,
     /// Latest heartbeat round of the leader.
     heartbeat_round: u64,
+    /// Recent heartbeat rounds of the leader and when they were sent, oldest first.
+    round_starts: VecDeque<(u64, Instant)>,
     pending_reads: Vec<leader::PendingRead>,
     join_requests: BTreeMap<VmName, member::JoinRequest>,
     incoming_snapshot: Option<follower::IncomingSnapshot>,
@@ -254,8 +263,6 @@
     reported_role: (Role, Term, Option<VmName>),
     rng: StdRng,
     outputs: Vec<Output>,
-    /// Recent heartbeat rounds of the leader and when they were sent, oldest first.
-    round_starts: VecDeque<(u64, Instant)>,
 }
 
 impl Replica {
@@ -278,6 +285,7 @@
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             heartbeat_round: 0,
+            round_starts: VecDeque::new(),
             pending_reads: Vec::new(),
             join_requests: BTreeMap::new(),
             incoming_snapshot: None,
@@ -285,7 +293,6 @@
             rng: StdRng::seed_from_u64(seed),
             outputs: Vec::new(),
         };
-            round_starts: VecDeque::new(),
         replica.reset_deadline(now);
         if replica.settings.is_dynamic {
             // After a restart of the whole group there is no leader. The pre-vote prevents a replica that
@@ -327,13 +334,6 @@
         }
     }
 
-    fn tick(&mut self, now: Instant) {
-        if self.role == Role::Leader {
-            self.tick_leader(now);
-            return;
-        }
-        // With dynamic membership, a voter may have been removed while it was unreachable, so that its own
-        // log still lists it as a voter.
     /// Until when role and leader in [`Replica::status`] hold without another input. After that, another replica
     /// may have been elected. `None` if no leader is known, or the leader has no majority's confirmation yet.
     pub fn leader_until(&self, now: Instant) -> Option<Instant> {
@@ -343,6 +343,13 @@
         }
     }
 
+    fn tick(&mut self, now: Instant) {
+        if self.role == Role::Leader {
+            self.tick_leader(now);
+            return;
+        }
+        // With dynamic membership, a voter may have been removed while it was unreachable, so that its own
+        // log still lists it as a voter.
         if !self.is_voter() || self.settings.is_dynamic {
             self.send_join_requests(now);
         }
@@ -449,15 +456,19 @@
             data: state,
         };
         self.outputs.push(Output::SaveSnapshot(snapshot.clone()));
-        let base = index.saturating_sub(self.settings.retained_entries);
+        let (count, bytes) = (self.settings.retained_entries, self.settings.retained_bytes);
+        let base = self.log.retained_base(index, count, bytes);
         self.log.compact(snapshot, base);
     }
 
-    /// Advances the commit index and outputs the newly committed entries for applying.
+    /// Advances the commit index and outputs the newly committed entries for applying, at most
+    /// [`COMMIT_STEP_BYTES`] of them; the next message or tick continues.
     fn commit_to(&mut self, index: Index) {
-        while self.commit_index < index {
+        let mut bytes = 0;
+        while self.commit_index < index && bytes < COMMIT_STEP_BYTES {
             self.commit_index += 1;
             let entry = self.log.get(self.commit_index).cloned();
+            bytes += entry.as_ref().map_or(0, Entry::size);
             self.outputs.extend(entry.map(Output::Apply));
         }
     }
--- a/src/replica/leader.rs
+++ b/src/replica/leader.rs
@@ -72,6 +72,7 @@
             self.step_down(now);
             return;
         }
+        self.advance_commit(now);
         if now < self.heartbeat_due {
             return;
         }
@@ -134,15 +135,14 @@
         self.heartbeat_round += 1;
         self.heartbeat_due = now + self.settings.heartbeat_interval;
         let round = self.heartbeat_round;
-        for member in self.other_members() {
         self.record_round(now, round);
+        for member in self.other_members() {
             let matched = self.progress.get(&member.id).map_or(0, |p| p.match_index);
             let commit = self.commit_index.min(matched);
             self.send(member, Message::Heartbeat { commit, round });
         }
     }
 
-    /// Sends entries or the next part of a snapshot to each replica that has no unanswered message.
     /// Records when a round was sent, once in [`ROUND_RECORDS`]th of the election timeout.
     fn record_round(&mut self, now: Instant, round: u64) {
         let timeout = self.settings.election_timeout;
@@ -177,6 +177,7 @@
         Some(start + self.settings.election_timeout)
     }
 
+    /// Sends entries or the next part of a snapshot to each replica that has no unanswered message.
     fn replicate(&mut self, now: Instant) {
         for member in self.other_members() {
             let Some(mut progress) = self.progress.remove(&member.id) else {
--- a/src/replica/log.rs
+++ b/src/replica/log.rs
@@ -85,6 +85,21 @@
         first
     }
 
+    /// The last entry to compact so that, of the entries up to `index`, at most `count` with `bytes` bytes of
+    /// commands stay.
+    pub(super) fn retained_base(&self, index: Index, count: u64, bytes: usize) -> Index {
+        let mut size = 0;
+        let mut base = index;
+        while base > self.base && index - base < count {
+            size += self.get(base).map_or(0, Entry::size);
+            if size > bytes {
+                break;
+            }
+            base -= 1;
+        }
+        base
+    }
+
     pub(super) fn append(&mut self, entries: Vec<Entry>) {
         for entry in entries {
             debug_assert_eq!(entry.index, self.last() + 1);
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -212,6 +212,7 @@
         if let Some(snapshot) = &stored.snapshot {
             machine.restore(&snapshot.data)?;
         }
+        let snapshot_size = stored.snapshot.as_ref().map_or(0, |s| s.data.len());
         let (heartbeat_interval, election_timeout) = (settings.heartbeat_interval, settings.election_timeout);
         let replica = Replica::new(settings, stored, Instant::now(), random_u64()?);
         let shared = Arc::new(Shared {
@@ -220,7 +221,14 @@
             failure: Mutex::default(),
         });
         let (events, event_receiver) = channel::bounded(EVENT_QUEUE_LENGTH);
-        let worker = Worker::new(event_receiver, replica, journal, transport, Arc::clone(&shared));
+        let worker = Worker::new(
+            event_receiver,
+            replica,
+            journal,
+            transport,
+            Arc::clone(&shared),
+            snapshot_size,
+        );
         let worker = thread::Builder::new()
             .name("replication".into())
             .spawn(move || worker.run())
--- a/src/replication/worker.rs
+++ b/src/replication/worker.rs
@@ -34,6 +34,11 @@
 
 /// Applied entries between snapshots.
 const SNAPSHOT_ENTRIES: u64 = 1_000;
+/// Size of the applied commands, in bytes, after which a snapshot is taken before there are that many entries. The
+/// entries since the snapshot are kept in memory, and applied again at the next start.
+const SNAPSHOT_BYTES: usize = 1 << 20;
+/// The same relative to the size of the latest snapshot, since writing a large one takes long.
+const SNAPSHOT_RATIO: usize = 2;
 /// Largest number of events that are handled with one sync.
 const MAX_BATCH_EVENTS: usize = 1_024;
 
@@ -61,6 +66,10 @@
     applied: Index,
     /// Last entry of the latest snapshot.
     snapshot_index: Index,
+    /// Size of the latest snapshot, in bytes.
+    snapshot_size: usize,
+    /// Size of the commands applied since then, in bytes.
+    applied_bytes: usize,
 }
 
 impl<M: StateMachine, T: Transport> Worker<M, T> {
@@ -70,6 +79,7 @@
         journal: Journal,
         transport: T,
         shared: Arc<Shared<M>>,
+        snapshot_size: usize,
     ) -> Self {
         let applied = replica.status().applied;
         Self {
@@ -84,6 +94,8 @@
             accepted_proposals: BTreeMap::new(),
             applied,
             snapshot_index: applied,
+            snapshot_size,
+            applied_bytes: 0,
         }
     }
 
@@ -177,6 +189,7 @@
                 Output::SaveSnapshot(snapshot) => {
                     self.journal.save_snapshot(&snapshot)?;
                     self.snapshot_index = snapshot.index;
+                    self.snapshot_size = snapshot.data.len();
                 }
                 output if needs_sync => deferred.push(output),
                 output => self.execute(output)?,
@@ -244,6 +257,7 @@
     fn apply(&mut self, entry: Entry) {
         fail::fail_point!("replication::before_apply");
         self.applied = entry.index;
+        self.applied_bytes += entry.size();
         let result = match &entry.content {
             Content::Data(data) => self.shared.machine.lock().unwrap().apply(entry.index, data),
             Content::Empty | Content::Membership(_) => Vec::new(),
@@ -263,6 +277,7 @@
     fn restore(&mut self, snapshot: &Snapshot) -> Result<()> {
         self.shared.machine.lock().unwrap().restore(&snapshot.data)?;
         self.applied = snapshot.index;
+        self.applied_bytes = 0;
         let later = self.accepted_proposals.split_off(&(snapshot.index + 1));
         for proposal in std::mem::replace(&mut self.accepted_proposals, later).into_values() {
             let _ = proposal.reply.send(Err(Code::NoQuorum.into()));
@@ -280,11 +295,13 @@
     }
 
     fn snapshot_if_due(&mut self) -> Option<Input> {
-        if self.applied < self.snapshot_index + SNAPSHOT_ENTRIES {
+        let max_bytes = SNAPSHOT_BYTES.max(self.snapshot_size * SNAPSHOT_RATIO);
+        if self.applied < self.snapshot_index + SNAPSHOT_ENTRIES && self.applied_bytes < max_bytes {
             return None;
         }
         let index = self.applied;
         self.snapshot_index = index;
+        self.applied_bytes = 0;
         let state = self.shared.machine.lock().unwrap().snapshot().into();
         Some(Input::Compact { index, state })
     }
--- a/tests/fleet/edition.rs
+++ b/tests/fleet/edition.rs
@@ -214,3 +214,25 @@
     withdrawn.customers[0].digests.pop();
     assert!(replace(&mut catalog, 4, withdrawn).security);
 }
+
+/// Guards against control VMs whose memory is filled by the deltas of large configurations.
+#[test]
+fn deltas_of_large_editions_are_dropped_by_their_size() {
+    let large = |number: u64| Edition {
+        routes: (0..3_000)
+            .map(|n| Route {
+                limit_ms: 1_000 + number,
+                ..route(&format!("r{n}"), &format!("/{n}"))
+            })
+            .collect(),
+        ..edition(number)
+    };
+    let mut catalog = Catalog::new();
+    for number in 1..=8 {
+        assert_eq!(replace(&mut catalog, number, large(number)).fault, None);
+    }
+    let held = |after| catalog.deltas_after(after).map(|deltas| deltas.len());
+    assert_eq!(held(7), Some(1));
+    assert_eq!(held(5), Some(3));
+    assert_eq!(held(1), None);
+}
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -341,3 +341,26 @@
         .tests(15)
         .quickcheck(check as fn(Vec<(u8, u8)>) -> bool);
 }
+
+/// Guards against a replica that never starts again because its power failed while segments were deleted: the removal
+/// of a later one can be durable without that of an earlier one.
+#[test]
+fn a_covered_segment_before_a_gap_is_removed() {
+    let folder = folder(4);
+    let first = fs::read(folder.path().join(FIRST_SEGMENT)).unwrap();
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    journal.save_snapshot(&snapshot(4)).unwrap();
+    journal.append(5, &entries(5, 6)).unwrap();
+    journal.sync().unwrap();
+    journal.save_snapshot(&snapshot(6)).unwrap();
+    journal.append(7, &entries(7, 8)).unwrap();
+    journal.sync().unwrap();
+    fs::write(folder.path().join(FIRST_SEGMENT), first).unwrap();
+    let before = segments(folder.path()).len();
+    let stored = read(folder.path());
+    assert_eq!(
+        (stored.snapshot, indexes(&read(folder.path()))),
+        (Some(snapshot(6)), vec![7, 8])
+    );
+    assert_eq!(segments(folder.path()).len(), before - 1);
+}
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -283,3 +283,81 @@
     });
     assert_eq!(saved, Some(&membership()));
 }
+
+/// A leader that hears nothing could grant tokens beside its successor until it next steps.
+#[test]
+fn a_leader_is_one_only_for_an_election_timeout_after_a_round_that_a_majority_answered() {
+    let mut fixture = Fixture::new(3, &[2, 2]);
+    let term = fixture.win_election();
+    let elected = fixture.now;
+    assert_eq!(
+        fixture.replica.leader_until(fixture.now),
+        None,
+        "no round is answered yet"
+    );
+    fixture.now += HEARTBEAT / 2;
+    fixture.receive(2, term, Message::HeartbeatReply { round: 1 });
+    let until = |f: &Fixture| f.replica.leader_until(f.now);
+    assert_eq!(until(&fixture), Some(elected + ELECTION));
+    fixture.now = elected + HEARTBEAT;
+    fixture.step(Input::Tick);
+    assert_eq!(
+        until(&fixture),
+        Some(elected + ELECTION),
+        "the second round is not answered"
+    );
+    fixture.now += HEARTBEAT;
+    fixture.receive(2, term, Message::HeartbeatReply { round: 2 });
+    assert_eq!(until(&fixture), Some(elected + HEARTBEAT + ELECTION));
+    fixture.receive(3, term, Message::HeartbeatReply { round: 1 });
+    assert_eq!(until(&fixture), Some(elected + HEARTBEAT + ELECTION));
+}
+
+/// A follower whose worker waits for its disk could name a leader that has been replaced.
+#[test]
+fn a_follower_names_a_leader_until_its_election_timeout() {
+    let mut fixture = Fixture::new(3, &[2, 2]);
+    assert_eq!(fixture.replica.leader_until(fixture.now), None);
+    let (commit, round) = (0, 1);
+    fixture.receive(2, 3, Message::Heartbeat { commit, round });
+    let until = fixture.replica.leader_until(fixture.now).unwrap();
+    assert!(until >= fixture.now + ELECTION && until <= fixture.now + ELECTION * 2);
+}
+
+/// Entries of hundreds of kilobytes could fill the memory, and delay all heartbeats while they are applied together.
+#[test]
+fn large_entries_are_applied_in_steps_and_not_retained() {
+    const SIZE: usize = 400 << 10;
+    const COUNT: Index = 20;
+    let mut fixture = Fixture::new(3, &[]);
+    let term = fixture.win_election();
+    let mut applied = 0;
+    for token in 0..COUNT {
+        let data = vec![7; SIZE].into();
+        fixture.step(Input::Propose { token, data });
+    }
+    let last = fixture.replica.status().last;
+    fixture.step(Input::Persisted { index: last, term });
+    let matched = true;
+    let reply = Message::AppendReply { matched, index: last };
+    let mut outputs = fixture.receive(2, term, reply);
+    while fixture.commit() < last {
+        let count = outputs.iter().filter(|o| matches!(o, Output::Apply(_))).count();
+        assert!((1..=5).contains(&count), "{count} entries in one step");
+        applied += count;
+        outputs = fixture.step(Input::Tick);
+    }
+    assert!(applied as Index >= COUNT - 5);
+    let state = vec![1; 100].into();
+    fixture.step(Input::Compact { index: last, state });
+    // A follower that misses the large entries gets the snapshot, as they are no longer in memory.
+    let reply = Message::AppendReply {
+        matched: false,
+        index: 1,
+    };
+    fixture.now += HEARTBEAT * 3;
+    let mut sent = fixture.receive(3, term, reply);
+    sent.extend(fixture.step(Input::Tick));
+    let is_chunk = |o: &Output| matches!(o, Output::Send(e) if matches!(e.body, Message::Chunk { .. }));
+    assert!(sent.iter().any(is_chunk), "{sent:?}");
+}
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -1,13 +1,26 @@
 //! Guards against a replication service that loses or repeats changes with real RPC calls and files.
 
 use std::fs;
+use std::path::Path;
 
 use async_std::task;
 use zinnialoom::code::Code;
+use zinnialoom::component::Component;
+use zinnialoom::error::Result;
+use zinnialoom::id::Index;
+use zinnialoom::id::VmName;
+use zinnialoom::replica::Envelope;
+use zinnialoom::replica::ReplicaSettings;
 use zinnialoom::replica::Role;
+use zinnialoom::replication::Bootstrap;
+use zinnialoom::replication::Replication;
+use zinnialoom::replication::StateMachine;
+use zinnialoom::replication::Transport;
+use zinnialoom::timer::Timer;
 
 use self::group::ELECTION_TIMEOUT;
 use self::group::Group;
+use self::group::HEARTBEAT_PERIOD;
 use self::group::Vm;
 use self::group::applied;
 use self::group::propose;
@@ -190,3 +203,65 @@
         vm.stop().await;
     }
 }
+
+/// Keeps the last command.
+#[derive(Default)]
+struct LastCommand(Vec<u8>);
+
+impl StateMachine for LastCommand {
+    fn apply(&mut self, _: Index, data: &[u8]) -> Vec<u8> {
+        self.0 = data.to_vec();
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.clone()
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<()> {
+        self.0 = data.to_vec();
+        Ok(())
+    }
+}
+
+struct NoPeers;
+
+impl Transport for NoPeers {
+    fn send(&mut self, _: Envelope) {}
+}
+
+async fn open_alone(folder: &Path, timer: &Timer) -> Replication<LastCommand> {
+    let vm: VmName = "c1".into();
+    let settings = ReplicaSettings::new(vm.clone(), vec![vm.clone()], HEARTBEAT_PERIOD, ELECTION_TIMEOUT);
+    let bootstrap = Bootstrap { voters: vec![vm] };
+    let machine = LastCommand::default();
+    Replication::open_with_transport(settings, folder, &bootstrap, machine, timer, NoPeers)
+        .await
+        .unwrap()
+}
+
+/// Large commands could fill the disk and the memory before there are enough of them for a snapshot, and a start
+/// would have to apply all of them.
+#[async_std::test]
+async fn large_commands_cause_a_snapshot() {
+    const SIZE: usize = 256 << 10;
+    let folder = tempfile::tempdir().unwrap();
+    let timer = Timer::spawn();
+    for round in 0..3_u8 {
+        let replication = open_alone(folder.path(), &timer).await;
+        wait_for("a leader", || replication.status().role == Role::Leader).await;
+        for number in 0..30 {
+            replication
+                .propose(vec![round * 30 + number; SIZE])
+                .await
+                .unwrap();
+        }
+        assert!(replication.read(|m| m.0 == vec![round * 30 + 29; SIZE]));
+        replication.stop().await;
+        let files = fs::read_dir(folder.path()).unwrap();
+        let bytes: u64 = files.map(|f| f.unwrap().metadata().unwrap().len()).sum();
+        // 1 MiB of entries since the snapshot, one more entry, and the snapshot itself.
+        assert!(bytes < 2 << 20, "{bytes} bytes of {} written", 30 * SIZE);
+    }
+    timer.stop().await;
+}
