Keep the share of a limit small while a control VM lists few entry VMs

Cause by reading: a control VM that has restarted first lists no entry VMs, and each entry VM then took the whole rate as its share, and a whole share of the connections and of the retry budget.

Now the largest number listed in the last 10 s counts, and before the first list no share is spent.

Evidence: tests/fleet/vm_count.rs.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -20,3 +20,4 @@
 pub mod process;
 pub mod retry_budget;
 pub mod upstream_selector;
+pub mod vm_count;
--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -38,6 +38,7 @@
 use crate::fleet::retry_budget::RetryBudget;
 use crate::fleet::retry_budget::Totals;
 use crate::fleet::upstream_selector::UpstreamSelector;
+use crate::fleet::vm_count::VmCount;
 use crate::grant::Excess;
 use crate::grant::TokenPool;
 use crate::id::Incarnation;
@@ -130,6 +131,7 @@
             fallback_buckets: HashMap::new(),
             granted_at: None,
             entries: Vec::new(),
+            vm_count: VmCount::default(),
             controls: Vec::new(),
             link: None,
             control_revision: None,
@@ -330,7 +332,10 @@
                 state.set_control_revision(now, revision);
             }
             Frame::Controls(controls) => state.controls = controls,
-            Frame::Entries(entries) => state.entries = entries,
+            Frame::Entries(entries) => {
+                state.vm_count.observe(now, entries.len());
+                state.entries = entries;
+            }
             Frame::Announcements { is_complete, reports } => {
                 if is_complete {
                     let reported: std::collections::HashSet<&UpstreamId> =
--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -161,7 +161,7 @@
             may_test: budget.allows(now, &self.shared.retry_bound, vms, Purpose::Test),
             service: request.service,
             tried: request.tried,
-            vms: state.entries.len(),
+            vms,
         };
         let choice = state
             .selector
@@ -173,7 +173,8 @@
             .services
             .get(request.service)
             .map_or(0, |s| s.connections);
-        let share = f64::from(connection_limit) * USED_CONNECTION_RATIO / state.entries.len().max(1) as f64;
+        let share =
+            f64::from(connection_limit) * USED_CONNECTION_RATIO / state.vm_count.get(now).max(1) as f64;
         Ok(ChosenUpstream {
             service: report.service,
             upstream: report.upstream,
@@ -190,13 +191,13 @@
         })
     }
 
-    fn finish(&self, chosen: ChosenUpstream, sample: Sample) {
     fn is_available(&self, chosen: &ChosenUpstream) -> bool {
         let state = self.shared.state.lock();
         let (id, run_start) = (&chosen.upstream, chosen.run_start);
         state.selector.is_available(Instant::now(), id, run_start) && !state.view.has_departed(id, run_start)
     }
 
+    fn finish(&self, chosen: ChosenUpstream, sample: Sample) {
         let now = Instant::now();
         let mut state = self.shared.state.lock();
         let target = state.target_seconds(&sample.route);
--- a/src/fleet/control_client/state.rs
+++ b/src/fleet/control_client/state.rs
@@ -25,6 +25,7 @@
 use crate::fleet::retry_budget::Purpose;
 use crate::fleet::retry_budget::RetryBudget;
 use crate::fleet::upstream_selector::UpstreamSelector;
+use crate::fleet::vm_count::VmCount;
 use crate::grant::Excess;
 use crate::grant::TokenPool;
 use crate::grant::TokenRequest;
@@ -75,6 +76,8 @@
     pub(super) granted_at: Option<Instant>,
     /// All entry VMs, from the last list of the control VM.
     pub(super) entries: Vec<EntryVm>,
+    /// Number of entry VMs that share limits and budgets.
+    pub(super) vm_count: VmCount,
     /// Control VMs, from the last list of the control VM.
     pub(super) controls: Vec<ControlVm>,
     /// Connection to a control VM.
@@ -288,7 +291,7 @@
 
     /// The retry budget of a service, and the number of VMs that share it.
     pub(super) fn retry_budget(&mut self, service: &ServiceId) -> (&mut RetryBudget, usize) {
-        let vms = self.entries.len();
+        let vms = self.vm_count.get(Instant::now());
         (self.retry_budgets.entry(service.clone()).or_default(), vms)
     }
 
@@ -311,7 +314,11 @@
 
     /// Whether the fallback bucket of the customer admits a request.
     pub(super) fn spend_fallback(&mut self, now: Instant, customer: &Customer, excess: &Excess) -> bool {
-        let share = FallbackShare::new(customer.limit, excess, self.entries.len());
+        let vms = self.vm_count.get(now);
+        if vms == 0 {
+            return false;
+        }
+        let share = FallbackShare::new(customer.limit, excess, vms);
         let refill_start = self.granted_at.unwrap_or(now);
         let bucket = self
             .fallback_buckets
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -49,3 +49,5 @@
 mod upstream_selector;
 #[path = "fleet/upstreams.rs"]
 mod upstreams;
+#[path = "fleet/vm_count.rs"]
+mod vm_count;
