Expire single tokens with the answer that carries them

Cause: a token counts as unspent, and so against the burst, until its VM reports it or its grant of 2 s expires. In a large fleet each request of a customer comes to another VM, whose next report is long after that; at 6 requests/s with a burst of 6 twelve spent tokens counted as unspent.

Now the answer to a request for one token, which a waiting request spends at once, expires after the time in which its spender accepts it (120 ms with one owner). The bound is as hard as before: a token that may still be spent counts against the burst. Ruled out: a report for each token, which costs two more messages a request; a mark in the request, which changes the message.

--- a/src/grant.rs
+++ b/src/grant.rs
@@ -27,6 +27,11 @@
 
 /// Longest lifetime of a grant, by the clock of the owner.
 pub const MAX_GRANT_LIFETIME: Duration = Duration::from_secs(2);
+/// A token request that is unanswered for this long has failed; its share is then not used for a pause.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// The same where one owner grants all tokens. There is no other share to use meanwhile, so a lost token request must
+/// be repeated before the queued requests reach their deadlines.
+const SINGLE_OWNER_REQUEST_TIMEOUT: Duration = Duration::from_millis(120);
 /// Largest number of shares of a limit. With three, the loss of one owner pauses a third of the rate.
 pub const MAX_SHARES: u8 = 3;
 
@@ -44,6 +49,14 @@
     max_shares
 }
 
+/// Time after which a token request has failed, for limits of at most `max_shares` shares.
+pub(crate) fn request_timeout(max_shares: u8) -> Duration {
+    match max_shares {
+        1 => SINGLE_OWNER_REQUEST_TIMEOUT,
+        _ => REQUEST_TIMEOUT,
+    }
+}
+
 /// Rate and burst of one share; those of all shares add up to the limit. Zero if the limit has no such share.
 pub fn share_limit(limit: Limit, share: u8) -> Limit {
     share_limit_with_max(limit, share, MAX_SHARES)
--- a/src/grant/customer_pool.rs
+++ b/src/grant/customer_pool.rs
@@ -7,6 +7,7 @@
 use crate::grant::MAX_SHARES;
 use crate::grant::SpendReport;
 use crate::grant::pool::Ticket;
+use crate::grant::request_timeout;
 use crate::grant::share_count_with_max;
 use crate::id::Version;
 use crate::id::VmName;
@@ -28,18 +29,13 @@
 /// After this long without an answer, the tokens of a token request no longer count as requested, so that
 /// they are requested from another share as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(40);
-/// A token request that is unanswered for this long has failed; its share is then not used for
-/// [`TIMEOUT_PAUSE`].
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
-/// Like [`REQUEST_TIMEOUT`] where one owner grants all tokens. There is no other share to use meanwhile, so a
-/// lost token request must be repeated before the queued requests reach their deadlines.
-const SINGLE_OWNER_REQUEST_TIMEOUT: Duration = Duration::from_millis(120);
+/// Pause of a share whose token request has failed.
+const TIMEOUT_PAUSE: Duration = Duration::from_millis(500);
 /// Like [`TIMEOUT_PAUSE`] where one owner grants all tokens.
 const SINGLE_OWNER_TIMEOUT_PAUSE: Duration = Duration::from_millis(20);
 /// Without an answer of an owner for this long, refusals are not attributed to the customer's rate. While
 /// requests are queued, the VM sends several token requests in this time.
 const RECENT_ANSWER_TIME: Duration = Duration::from_secs(1);
-const TIMEOUT_PAUSE: Duration = Duration::from_millis(500);
 /// A customer without tokens is removed this long after its last request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Lower bound of the queue limit, whatever the customer's rate.
@@ -224,9 +220,10 @@
     pub(crate) fn expire(&mut self, now: Instant) {
         self.grants.retain(|g| g.expires > now);
         self.queue.retain(|(_, deadline)| *deadline > now);
-        let (timeout, pause) = match self.max_shares {
-            1 => (SINGLE_OWNER_REQUEST_TIMEOUT, SINGLE_OWNER_TIMEOUT_PAUSE),
-            _ => (REQUEST_TIMEOUT, TIMEOUT_PAUSE),
+        let timeout = request_timeout(self.max_shares);
+        let pause = match self.max_shares {
+            1 => SINGLE_OWNER_TIMEOUT_PAUSE,
+            _ => TIMEOUT_PAUSE,
         };
         for share in &mut self.shares {
             if share.pending.is_some_and(|p| p.sent + timeout <= now) {
--- a/src/grant/owner.rs
+++ b/src/grant/owner.rs
@@ -10,6 +10,7 @@
 use crate::grant::SpendReport;
 use crate::grant::TokenRequest;
 use crate::grant::micros;
+use crate::grant::request_timeout;
 use crate::grant::share_limit_with_max;
 use crate::id::CustomerId;
 use crate::id::Incarnation;
@@ -244,13 +245,21 @@
             return request.refuse(MAX_RETRY_DELAY);
         }
         let limit = share_limit_with_max(customer.limit, request.share, self.max_shares);
+        let max_shares = self.max_shares;
         let bucket = self.bucket(now, lease, partition, limit, request);
         bucket.update(now, limit);
         for report in &request.reports {
             bucket.apply_report(request, report);
         }
         let tokens = bucket.take(request.tokens);
-        let lifetime = MAX_GRANT_LIFETIME.min(lease.end - now);
+        // A single token is for a request that waits for it: it is spent when the answer arrives, and the spender
+        // ignores a later answer. Until it expires it counts against the burst, as most spenders of a large fleet
+        // report it with their next request only.
+        let max_lifetime = match request.tokens {
+            1 => request_timeout(max_shares),
+            _ => MAX_GRANT_LIFETIME,
+        };
+        let lifetime = max_lifetime.min(lease.end - now);
         if tokens > 0 {
             bucket.outstanding.push(OutstandingGrant {
                 spender: request.spender.clone(),
