Send requests that run once to idle upstreams first where nothing else tests them

Now, in a service without idempotent requests, the time since the last success of an idle upstream counts for it, up to 2 s.

Evidence: tests/fleet/floor.rs (a_service_with_little_traffic_uses_its_sound_upstreams fails before).

--- a/examples/selection_bench/main.rs
+++ b/examples/selection_bench/main.rs
@@ -7,6 +7,7 @@
 use self::world::GROWN;
 use self::world::MEDIUM;
 use self::world::SMALL;
+use self::world::SPARSE;
 use self::world::SelectionWorld;
 use self::world::variants;
 
@@ -21,7 +22,7 @@
         "| VMs | upstreams | gray | idempotent | cut | burst | not served | least used | windows below the floor |"
     );
     println!("|---|---|---|---|---|---|---|---|---|");
-    for deployment in [SMALL, MEDIUM, GROWN].into_iter().flat_map(variants) {
+    for deployment in [SMALL, SPARSE, MEDIUM, GROWN].into_iter().flat_map(variants) {
         IDEMPOTENT
             .map(|idempotent| Deployment {
                 idempotent,
--- a/examples/selection_bench/world.rs
+++ b/examples/selection_bench/world.rs
@@ -107,6 +107,16 @@
     ..SMALL
 };
 
+/// A service with many upstreams for its requests, of which each gets one in about a second.
+pub const SPARSE: Deployment = Deployment {
+    vms: 94,
+    upstreams: 43,
+    rate: 35.0,
+    work: Duration::from_millis(180),
+    overdue: Duration::from_millis(600),
+    ..SMALL
+};
+
 /// Both kinds of gray failure, alone and with a burst and upstreams that some of the VMs cannot reach.
 pub fn variants(deployment: Deployment) -> impl Iterator<Item = Deployment> {
     let kinds = [Gray::Hang, Gray::Reset];
--- a/src/fleet/upstream_selector.rs
+++ b/src/fleet/upstream_selector.rs
@@ -64,9 +64,12 @@
 /// A service that got no idempotent request at this VM for this long has none that test its upstreams. Longer
 /// than the pauses between those of a VM with little traffic.
 const IDEMPOTENT_RECENT: Duration = Duration::from_secs(10);
-/// In a service without such tests, age of the last success from which the cost of staleness no longer grows. Beyond it, requests that must not
-/// test would queue at a few upstreams while others, whose successes have only aged, are idle.
-const STALENESS_MAX: Duration = Duration::from_secs(1);
+/// In a service without such tests, gain of each second since the last success of an idle upstream, in units of load.
+/// Otherwise the requests would go to ever fewer upstreams, and a sound one that gets none for 2 s does not count
+/// towards the capacity of its service.
+const IDLE_GAIN_PER_S: f32 = 0.5;
+/// Age of the last success from which this gain no longer grows.
+const IDLE_MAX: Duration = Duration::from_secs(2);
 /// Cost of an upstream that is slow after its start.
 const COLD_START_COST: f32 = 0.5;
 /// Number of random upstreams that are compared for a request.
@@ -290,12 +293,13 @@
             let candidate = self.random(from)?;
             let succeeded = table.succeeded_at(&candidate.report.upstream);
             let age = succeeded.map(|at| now.saturating_duration_since(at));
-            let charged_age = match kind {
-                Kind::Idempotent => Duration::ZERO,
-                Kind::NonIdempotent => age.unwrap_or_default(),
-                Kind::Untested => age.unwrap_or(STALENESS_MAX).min(STALENESS_MAX),
+            let staleness = match kind {
+                Kind::Idempotent => 0.0,
+                Kind::NonIdempotent => age.unwrap_or_default().as_secs_f32() * STALENESS_COST_PER_S,
+                // A request in flight there will tell.
+                Kind::Untested if self.load(candidate) > 0.0 => 0.0,
+                Kind::Untested => -age.unwrap_or(IDLE_MAX).min(IDLE_MAX).as_secs_f32() * IDLE_GAIN_PER_S,
             };
-            let staleness = charged_age.as_secs_f32() * STALENESS_COST_PER_S;
             let cost = self.cost(now, table, candidate) + staleness;
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, candidate));
--- a/tests/fleet/floor.rs
+++ b/tests/fleet/floor.rs
@@ -8,6 +8,7 @@
 use crate::selection_world::GROWN;
 use crate::selection_world::MEDIUM;
 use crate::selection_world::SMALL;
+use crate::selection_world::SPARSE;
 use crate::selection_world::SelectionWorld;
 use crate::selection_world::variants;
 
@@ -39,6 +40,15 @@
     }
 }
 
+/// The same where each upstream gets a request in about a second: those with the latest success must not get most of
+/// them.
+#[test]
+fn a_service_with_little_traffic_uses_its_sound_upstreams() {
+    for deployment in variants(SPARSE) {
+        check_floor(deployment, seed_count(5));
+    }
+}
+
 /// The same with so few upstreams that one which is left out breaks the floor.
 #[test]
 fn a_service_of_six_upstreams_uses_its_sound_ones() {
