Test near upstreams first, and report requests in flight to distant control VMs half as often

Tests of upstreams went to any failure domain: a fifth of all requests, four fifths of them to another domain.

--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -225,6 +225,7 @@
         link.send(&Frame::Entries(own_entries(&state)));
         state.known_controls.insert(other.vm.clone(), other.clone());
         let peer = ControlPeer {
+            domain: other.domain,
             link: link.clone(),
             number,
             dialed,
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -26,6 +26,7 @@
 use crate::fleet::retry_budget::Totals;
 use crate::grant::Excess;
 use crate::grant::Owner;
+use crate::id::DomainName;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::id::Version;
@@ -62,6 +63,8 @@
 
 /// A connected control VM.
 pub(super) struct ControlPeer {
+    /// Its failure domain.
+    pub(super) domain: DomainName,
     pub(super) link: Link,
     /// Number of the connection, as in [`EntryPeer`].
     pub(super) number: u64,
@@ -139,8 +142,8 @@
     pub(super) unsent_usage: HashMap<ServiceId, Totals>,
     /// Number of calls of `send_reports` so far.
     pub(super) report_periods: u64,
-    /// Whether the last report to the other control VMs had requests in flight.
-    pub(super) had_in_flight: bool,
+    /// Number of successive reports to all control VMs that had no requests in flight.
+    pub(super) idle_reports: u64,
     /// Configuration version that was last sent to the entry VMs.
     pub(super) pushed_version: Version,
     /// The list of all entry VMs that each entry VM connected here was sent last.
@@ -248,7 +251,7 @@
             usage: FleetUsage::new(Instant::now()),
             unsent_usage: Default::default(),
             report_periods: Default::default(),
-            had_in_flight: Default::default(),
+            idle_reports: Default::default(),
             last_failures: Default::default(),
             pushed_version: Default::default(),
             sent_entries: Default::default(),
@@ -297,7 +300,7 @@
 }
 
 /// Encodes a message once and sends it on all links.
-fn send_encoded<'a>(frame: &Frame, links: impl Iterator<Item = &'a Link>) {
+pub(super) fn send_encoded<'a>(frame: &Frame, links: impl Iterator<Item = &'a Link>) {
     match link::encode(frame) {
         Ok(bytes) => links.for_each(|link| link.send_bytes(bytes.clone())),
         Err(e) => error!("message not sent, encoding failed: {e}"),
--- a/src/fleet/control_server/tick.rs
+++ b/src/fleet/control_server/tick.rs
@@ -6,8 +6,10 @@
 use log::info;
 
 use super::Shared;
+use super::state::ControlPeer;
 use super::state::State;
 use super::state::own_entries;
+use super::state::send_encoded;
 use crate::fleet::health::HealthUpdate;
 use crate::fleet::link::Link;
 use crate::fleet::message::Frame;
@@ -21,6 +23,9 @@
 /// Reports go to the other control VMs once in this many periods, because traffic between failure domains
 /// is billed.
 pub(super) const CONTROL_REPORT_PERIODS: u64 = 2;
+/// The same for requests in flight to control VMs of other failure domains, whose entry VMs rarely send requests to
+/// the upstreams of this one. A multiple of [`CONTROL_REPORT_PERIODS`].
+const DISTANT_REPORT_PERIODS: u64 = 4;
 
 /// A heartbeat that states whether this VM had recent contact with a leader that has a majority.
 pub(super) fn heartbeat(status: &ReplicaStatus) -> Frame {
@@ -94,15 +99,30 @@
             state.send_to_all(None, &Frame::Results(updates));
         }
         let usage: Vec<(ServiceId, Totals)> = state.unsent_usage.drain().collect();
+        if !usage.is_empty() {
+            state.send_to_controls(&Frame::Usage(usage));
+        }
+        self.report_in_flight(state);
+    }
+
+    /// Sends the requests in flight of the entry VMs connected here to the other control VMs, less often to those of
+    /// other failure domains.
+    fn report_in_flight(&self, state: &mut State) {
         let in_flight: Vec<(UpstreamId, u16)> = state.own_in_flight().into_iter().collect();
-        let is_idle = usage.is_empty() && in_flight.is_empty() && !state.had_in_flight;
-        state.had_in_flight = !in_flight.is_empty();
-        if is_idle {
+        let is_distant_due = state.report_periods % DISTANT_REPORT_PERIODS == 0;
+        if is_distant_due {
+            state.idle_reports = match in_flight.is_empty() {
+                true => state.idle_reports.saturating_add(1),
+                false => 0,
+            };
+        }
+        // The first empty report, which all control VMs get, tells that there are none left.
+        if state.idle_reports > 1 {
             return;
         }
-        let (usage, in_flight) = (Frame::Usage(usage), Frame::InFlight(in_flight));
-        state.send_to_controls(&usage);
-        state.send_to_controls(&in_flight);
+        let is_due = |peer: &&ControlPeer| is_distant_due || peer.domain == self.local.domain;
+        let links = state.controls.values().filter(is_due).map(|p| &p.link);
+        send_encoded(&Frame::InFlight(in_flight), links);
     }
 
     /// Updates the lease for granting tokens and sends heartbeats to all VMs.
--- a/src/fleet/upstream_selector.rs
+++ b/src/fleet/upstream_selector.rs
@@ -28,6 +28,9 @@
 
 /// Share of the first attempts of idempotent requests that test an upstream.
 const TEST_SHARE: f64 = 0.4;
+/// Share of these tests that go to any failure domain although an upstream of the own one is due: a domain whose
+/// callers send few requests cannot test all of its upstreams.
+const DISTANT_TEST_SHARE: f64 = 0.2;
 /// An upstream without results for this long is tested even when the retry budget is used up: one that gets
 /// no request for 2 s does not count towards the capacity of its service.
 const FORCED_TEST_AFTER: Duration = Duration::from_millis(1_000);
@@ -197,7 +200,7 @@
                 .filter(|l| criteria.may_test || is_test_overdue(now, table, &l.report.upstream))
                 .filter(|l| self.is_test_due(now, table, &l.report.upstream))
                 .collect();
-            if let Some(chosen) = self.random(&due_for_test) {
+            if let Some(chosen) = self.draw_for_test(&due_for_test) {
                 return Ok(self.assign(now, chosen, health(chosen), true));
             }
         }
@@ -238,6 +241,16 @@
         })
     }
 
+    /// A random upstream that is due for a test; most tests go to the own failure domain while one there is due.
+    fn draw_for_test<'a>(&mut self, due: &[&'a ListedUpstream]) -> Option<&'a ListedUpstream> {
+        let is_near = |l: &&&ListedUpstream| l.report.domain == self.domain;
+        let near: Vec<&ListedUpstream> = due.iter().filter(is_near).copied().collect();
+        match near.is_empty() || self.rng.random_bool(DISTANT_TEST_SHARE) {
+            true => self.random(due),
+            false => self.random(&near),
+        }
+    }
+
     /// Load of an upstream: requests in flight from all VMs per slot.
     pub fn load(&self, upstream: &ListedUpstream) -> f32 {
         let id = &upstream.report.upstream;
