Try the other side of a cut first when a control VM hears no leader

The entry VM left its control VM at 3.14 s, and then one after the other of the same side, each after 0.4 s, until it came to a seed on the other side at 5.62 s and got the configuration at 5.70 s. A control VM lists those that it is connected to, so one that is cut off lists only its own side, and the entry VM replaced what it knew by that list.

A control VM tells its entry VMs when it loses another one. Ruled out: several connections at once, as each costs the whole list of upstreams on a link of 2 Mbit/s.

Evidence: tests/fleet/control_selector.rs (the_other_side_of_a_cut_is_tried_first).

--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -133,6 +133,8 @@
             entries: Vec::new(),
             vm_count: VmCount::default(),
             controls: Vec::new(),
+            listed_controls: Vec::new(),
+            missing_controls: HashMap::new(),
             link: None,
             control_revision: None,
             crashes: CrashTable::new(crash_policy::ENTRY),
@@ -253,6 +255,9 @@
                 Err(e) => LeaveReason::Failed(e.to_string()),
             };
             warn!("control VM lost: vm={vm} reason=\"{reason}\"");
+            if matches!(reason, LeaveReason::Stale) {
+                selector.record_cut_off(Instant::now(), &self.state.lock().listed_controls);
+            }
             selector.record_leave(&vm, Instant::now(), &reason);
         }
     }
@@ -331,7 +336,7 @@
                 }
                 state.set_control_revision(now, revision);
             }
-            Frame::Controls(controls) => state.controls = controls,
+            Frame::Controls(controls) => state.merge_controls(now, controls),
             Frame::Entries(entries) => {
                 state.vm_count.observe(now, entries.len());
                 state.entries = entries;
--- a/src/fleet/control_selector.rs
+++ b/src/fleet/control_selector.rs
@@ -2,7 +2,7 @@
 //!
 //! Control VMs of the own failure domain come first, because traffic between domains is billed. One that
 //! was cut off from the others, or did not answer, comes last for a while: an entry VM that returned to it
-//! would miss the changes that the others accept.
+//! would miss the changes that the others accept. Those connected to one that was cut off come just before.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -39,6 +39,8 @@
     /// Tried in this round.
     tried: HashSet<VmName>,
     failed_at: HashMap<VmName, Instant>,
+    /// When a control VM was last listed as connected to one that heard no leader.
+    cut_off_at: HashMap<VmName, Instant>,
 }
 
 impl ControlSelector {
@@ -60,7 +62,8 @@
         ranked.sort_by_key(|vm| {
             // Seeds whose domain is not known yet come after the listed control VMs.
             let far = domain(vm) != Some(&local.domain);
-            (self.failed_recently(now, vm), far, domain(vm).is_none())
+            let cut_off = is_recent(now, self.cut_off_at.get(*vm));
+            (self.failed_recently(now, vm), cut_off, far, domain(vm).is_none())
         });
         ranked.into_iter().find(|vm| !self.tried.contains(*vm)).cloned()
     }
@@ -81,8 +84,15 @@
             LeaveReason::Failed(_) | LeaveReason::Stale => drop(self.failed_at.insert(vm.clone(), now)),
             LeaveReason::Nearer => self.start_round(),
         }
-        let is_recent = |at: &mut Instant| now.saturating_duration_since(*at) < FAILURE_BACKOFF;
-        self.failed_at.retain(|_, at| is_recent(at));
+        self.failed_at.retain(|_, at| is_recent(now, Some(at)));
+        self.cut_off_at.retain(|_, at| is_recent(now, Some(at)));
+    }
+
+    /// Records the control VMs that one without a leader is connected to. If the control group is cut in two, they
+    /// are on its side, and a leader is among the others.
+    pub fn record_cut_off(&mut self, now: Instant, connected: &[VmName]) {
+        self.cut_off_at
+            .extend(connected.iter().map(|vm| (vm.clone(), now)));
     }
 
     /// Whether `vm` is in another failure domain although one of the own domain did not fail recently.
@@ -96,7 +106,10 @@
     }
 
     fn failed_recently(&self, now: Instant, vm: &VmName) -> bool {
-        let failed = self.failed_at.get(vm);
-        failed.is_some_and(|at| now.saturating_duration_since(*at) < FAILURE_BACKOFF)
+        is_recent(now, self.failed_at.get(vm))
     }
 }
+
+fn is_recent(now: Instant, at: Option<&Instant>) -> bool {
+    at.is_some_and(|at| now.saturating_duration_since(*at) < FAILURE_BACKOFF)
+}
--- a/src/fleet/control_server.rs
+++ b/src/fleet/control_server.rs
@@ -382,6 +382,9 @@
                 self.lost_connections.fetch_add(1, Ordering::Relaxed);
                 state.entry_vms.mark_lost(now, &vm);
                 warn!("control VM lost: vm={vm} reason=\"{reason}\"");
+                // Entry VMs that leave this one look for a leader among the others.
+                let controls = Frame::Controls(self.control_list(&state));
+                state.send_to_entries(&controls);
             }
             _ => {}
         }
--- a/tests/fleet/control_selector.rs
+++ b/tests/fleet/control_selector.rs
@@ -74,3 +74,25 @@
             .is_some()
     );
 }
+
+/// Guards against an entry VM that asks one control VM after the other of the side without a leader, while the core is
+/// cut in two: it learns of a new configuration later than the 2 s allowed.
+#[test]
+fn the_other_side_of_a_cut_is_tried_first() {
+    let now = Instant::now();
+    let mut selector = ControlSelector::default();
+    let connected: Vec<VmName> = vec!["c1".into(), "c2".into(), "c3".into()];
+    selector.mark_tried(&"c1".into());
+    selector.record_cut_off(now, &connected);
+    selector.record_leave(&"c1".into(), now, &LeaveReason::Stale);
+    for _ in 0..2 {
+        let next = selector.next(now, &local_entry(), &five_controls(), &[]).unwrap();
+        assert!(["c4", "c5"].contains(&next.as_str()), "{next}");
+        selector.mark_tried(&next);
+    }
+    let next = selector.next(now, &local_entry(), &five_controls(), &[]).unwrap();
+    assert_eq!(next, "c2", "then those of the same side, near ones first");
+    selector.start_round();
+    let later = selector.next(now + FAILURE_BACKOFF, &local_entry(), &five_controls(), &[]);
+    assert!(["c1", "c2"].contains(&later.unwrap().as_str()));
+}
