Pass on together the reports of upstreams that change nothing

By reading, each heartbeat of an upstream went to all 14 other control VMs at once: 600 upstreams (thinned to 360) at 1.5 s each are 240 reports a second, 3,400 messages.

Now a report that changes nothing is passed on within 3 s, together with the others, with the time that passed taken off its cold start. A run that is listed counts as silent after 6 s instead of 4 s; that decides only when a run with an earlier start, after a clock that was set back, takes its place.

Evidence: tests/fleet/refreshes.rs (one message for each report before).

--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -169,7 +169,8 @@
             return;
         }
         info!("entry VM connected: vm={} version={version}", entry.vm);
-        let reports = state.upstreams.iter().map(|l| l.report.clone()).collect();
+        let now = Instant::now();
+        let reports = state.upstreams.iter().map(|l| l.report_at(now)).collect();
         link.send(&Frame::Controls(self.control_list(&state)));
         link.send(&Frame::Announcements {
             is_complete: true,
@@ -216,7 +217,7 @@
             .upstreams
             .iter()
             .filter(|l| now.saturating_duration_since(l.received) < discovery::REPLACE_AFTER)
-            .map(|l| l.report.clone())
+            .map(|l| l.report_at(now))
             .collect();
         link.send(&Frame::Announcements {
             is_complete: false,
@@ -289,20 +290,24 @@
         if change == discovery::Change::Outdated {
             return;
         }
+        if change == discovery::Change::Refreshed {
+            if is_from_upstream {
+                state.pending_refreshes.insert(report.upstream);
+            }
+            return;
+        }
+        info!(
+            "upstream listed: upstream={} service={} address={} state={} born={} sequence={}",
+            report.upstream, report.service, report.address, report.state, report.born, report.sequence
+        );
         let frame = Frame::Announcements {
             is_complete: false,
-            reports: vec![report.clone()],
+            reports: vec![report],
         };
         if is_from_upstream {
             state.send_to_controls(&frame);
         }
-        if change == discovery::Change::Changed {
-            info!(
-                "upstream listed: upstream={} service={} address={} state={} born={} sequence={}",
-                report.upstream, report.service, report.address, report.state, report.born, report.sequence
-            );
-            state.send_to_entries(&frame);
-        }
+        state.send_to_entries(&frame);
     }
 
     /// Forwards results. Of those of an entry VM, failures are forwarded at once and successes with the next
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -132,6 +132,8 @@
     pub(super) pending_successes: HashMap<UpstreamId, PendingSuccesses>,
     /// When an entry VM connected here last reported a broken connection or cut answer of an upstream.
     pub(super) last_failures: HashMap<UpstreamId, Instant>,
+    /// Upstreams that sent a report to this VM that changed nothing, since these were last sent to the control VMs.
+    pub(super) pending_refreshes: HashSet<UpstreamId>,
     /// Runs of upstreams whose departure is being recorded.
     pub(super) pending_departures: HashSet<(UpstreamId, u64)>,
     /// Crashes of upstreams that the fleet reported, by fingerprint.
@@ -246,6 +248,7 @@
             leader_history: Default::default(),
             pending_calls: Default::default(),
             pending_successes: Default::default(),
+            pending_refreshes: Default::default(),
             pending_departures: Default::default(),
             crashes: CrashTable::new(crash_policy::CONTROL),
             usage: FleetUsage::new(Instant::now()),
--- a/src/fleet/control_server/tick.rs
+++ b/src/fleet/control_server/tick.rs
@@ -10,6 +10,7 @@
 use super::state::State;
 use super::state::own_entries;
 use super::state::send_encoded;
+use crate::fleet::discovery::Announcement;
 use crate::fleet::health::HealthUpdate;
 use crate::fleet::link::Link;
 use crate::fleet::message::Frame;
@@ -23,6 +24,9 @@
 /// Reports go to the other control VMs once in this many periods, because traffic between failure domains
 /// is billed.
 pub(super) const CONTROL_REPORT_PERIODS: u64 = 2;
+/// The same for reports of upstreams that changed nothing. They only show that the upstream still reports, which need
+/// not be known sooner than [`REPLACE_AFTER`](crate::fleet::discovery::REPLACE_AFTER).
+const REFRESH_PERIODS: u64 = 20;
 /// The same for requests in flight to control VMs of other failure domains, whose entry VMs rarely send requests to
 /// the upstreams of this one. A multiple of [`CONTROL_REPORT_PERIODS`].
 const DISTANT_REPORT_PERIODS: u64 = 4;
@@ -36,6 +40,19 @@
     }
 }
 
+/// Sends the reports that changed nothing to the other control VMs, as of now.
+fn report_refreshes(now: Instant, state: &mut State) {
+    let pending = std::mem::take(&mut state.pending_refreshes);
+    let listed = pending.iter().filter_map(|id| state.upstreams.get(id));
+    let reports: Vec<Announcement> = listed.map(|l| l.report_at(now)).collect();
+    if !reports.is_empty() {
+        state.send_to_controls(&Frame::Announcements {
+            is_complete: false,
+            reports,
+        });
+    }
+}
+
 impl Shared {
     /// Sends a new configuration to the entry VMs that hold an older one.
     pub(super) fn push_config(self: &Arc<Self>) {
@@ -103,6 +120,9 @@
             state.send_to_controls(&Frame::Usage(usage));
         }
         self.report_in_flight(state);
+        if state.report_periods % REFRESH_PERIODS == 0 {
+            report_refreshes(now, state);
+        }
     }
 
     /// Sends the requests in flight of the entry VMs connected here to the other control VMs, less often to those of
--- a/src/fleet/discovery.rs
+++ b/src/fleet/discovery.rs
@@ -18,9 +18,9 @@
 use crate::view::Departed;
 
 /// A run without a report for this long may be replaced by one with an earlier start, because the clock of
-/// an upstream can be set back between two runs. Longer than two announcement periods and the delay of a
-/// report.
-pub const REPLACE_AFTER: Duration = Duration::from_secs(4);
+/// an upstream can be set back between two runs. Longer than the time after which a control VM passes on a report that
+/// changes nothing (3 s), an announcement period and the delay of a report.
+pub const REPLACE_AFTER: Duration = Duration::from_secs(6);
 /// An upstream without a report for this long is removed. It is long because an upstream that is cut off
 /// from the control VMs may still serve; until then requests show whether it does.
 pub const EXPIRE_AFTER: Duration = Duration::from_secs(60);
@@ -68,6 +68,16 @@
 }
 
 impl ListedUpstream {
+    /// The report as the upstream would send it at `now`.
+    pub fn report_at(&self, now: Instant) -> Announcement {
+        let age = now.saturating_duration_since(self.received).as_millis();
+        let age = u32::try_from(age).unwrap_or(u32::MAX);
+        Announcement {
+            cold_ms: self.report.cold_ms.saturating_sub(age),
+            ..self.report.clone()
+        }
+    }
+
     /// Whether the upstream is still slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
         let cold = Duration::from_millis(self.report.cold_ms.into());
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -37,6 +37,8 @@
 mod ports;
 #[path = "fleet/quarantine.rs"]
 mod quarantine;
+#[path = "fleet/refreshes.rs"]
+mod refreshes;
 #[path = "fleet/retry_budget.rs"]
 mod retry_budget;
 #[path = "support/seeds.rs"]
