Keep the control VMs that a list lacks apart from the last list

Missing ones are now candidates only when it looks for another.

Evidence: tests/fleet/control_selector.rs (control_vms_that_a_list_lacks_are_kept_but_not_preferred).

--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -20,6 +20,7 @@
 use self::state::State;
 use self::state::millis;
 use crate::component::Component;
+use crate::fleet::control_selector::ControlList;
 use crate::fleet::control_selector::ControlSelector;
 use crate::fleet::control_selector::LeaveReason;
 use crate::fleet::control_server;
@@ -132,9 +133,7 @@
             granted_at: None,
             entries: Vec::new(),
             vm_count: VmCount::default(),
-            controls: Vec::new(),
-            listed_controls: Vec::new(),
-            missing_controls: HashMap::new(),
+            controls: ControlList::default(),
             link: None,
             control_revision: None,
             crashes: CrashTable::new(crash_policy::ENTRY),
@@ -256,7 +255,7 @@
             };
             warn!("control VM lost: vm={vm} reason=\"{reason}\"");
             if matches!(reason, LeaveReason::Stale) {
-                selector.record_cut_off(Instant::now(), &self.state.lock().listed_controls);
+                selector.record_cut_off(Instant::now(), self.state.lock().controls.listed());
             }
             selector.record_leave(&vm, Instant::now(), &reason);
         }
@@ -266,7 +265,7 @@
     fn next_candidate(&self, selector: &ControlSelector) -> Option<VmName> {
         let seeds = self.seeds.lock().clone();
         let state = self.state.lock();
-        selector.next(Instant::now(), &state.entry, &state.controls, &seeds)
+        selector.next(Instant::now(), &state.entry, &state.controls.all(), &seeds)
     }
 
     /// Uses the connection to a control VM until it ends, the VM reports no leader for [`NO_LEADER_TIMEOUT`],
@@ -321,7 +320,7 @@
     /// Whether a control VM of the own failure domain is available while `vm` is in another.
     fn has_nearer(&self, now: Instant, vm: &VmName, selector: &ControlSelector) -> bool {
         let state = self.state.lock();
-        selector.has_nearer(now, vm, &state.entry, &state.controls)
+        selector.has_nearer(now, vm, &state.entry, state.controls.listed())
     }
 
     /// Handles one message of the control VM.
@@ -336,7 +335,7 @@
                 }
                 state.set_control_revision(now, revision);
             }
-            Frame::Controls(controls) => state.merge_controls(now, controls),
+            Frame::Controls(controls) => state.controls.update(now, controls),
             Frame::Entries(entries) => {
                 state.vm_count.observe(now, entries.len());
                 state.entries = entries;
--- a/src/fleet/control_client/state.rs
+++ b/src/fleet/control_client/state.rs
@@ -9,6 +9,7 @@
 use log::info;
 use smol_str::SmolStr;
 
+use crate::fleet::control_selector::ControlList;
 use crate::fleet::discovery::UpstreamTable;
 use crate::fleet::fallback_bucket::FallbackBucket;
 use crate::fleet::fallback_bucket::FallbackShare;
@@ -17,7 +18,6 @@
 use crate::fleet::health::HealthUpdate;
 use crate::fleet::link::Link;
 use crate::fleet::message::ConfigUpdate;
-use crate::fleet::message::ControlVm;
 use crate::fleet::message::EntryVm;
 use crate::fleet::message::Frame;
 use crate::fleet::message::LEAVING_REVISION;
@@ -34,7 +34,6 @@
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
-use crate::id::VmName;
 use crate::quarantine;
 use crate::quarantine::CrashRecord;
 use crate::quarantine::CrashTable;
@@ -50,9 +49,6 @@
 /// the target itself.
 pub(super) const MIN_OVERDUE_RATIO: f64 = 0.6;
 
-/// Time for which a control VM that is missing in the lists is kept: longer than most cuts of the core.
-const MISSING_CONTROL_RETENTION: Duration = Duration::from_secs(20);
-
 /// Moving averages of the latency of a route, in seconds.
 #[derive(Clone, Copy)]
 pub(super) struct Latency {
@@ -82,12 +78,8 @@
     pub(super) entries: Vec<EntryVm>,
     /// Number of entry VMs that share limits and budgets.
     pub(super) vm_count: VmCount,
-    /// Control VMs that were listed recently.
-    pub(super) controls: Vec<ControlVm>,
-    /// Control VMs in the last list of the control VM, which it is connected to.
-    pub(super) listed_controls: Vec<VmName>,
-    /// Since when those of `controls` that it lacks are missing.
-    pub(super) missing_controls: HashMap<VmName, Instant>,
+    /// Control VMs, from the lists of the control VM.
+    pub(super) controls: ControlList,
     /// Connection to a control VM.
     pub(super) link: Option<Link>,
     /// Revision of the messages of that control VM, from its first heartbeat on.
@@ -115,25 +107,6 @@
         }
     }
 
-    /// Adds the control VMs of a list. Those that it lacks are kept for a while: a control VM that is cut off lists only
-    /// the others on its side.
-    pub(super) fn merge_controls(&mut self, now: Instant, listed: Vec<ControlVm>) {
-        self.listed_controls = listed.iter().map(|c| c.vm.clone()).collect();
-        let listed_names = &self.listed_controls;
-        let missing = &mut self.missing_controls;
-        missing.retain(|vm, _| !listed_names.contains(vm));
-        self.controls.retain(|c| {
-            if listed_names.contains(&c.vm) {
-                return false;
-            }
-            let since = *missing.entry(c.vm.clone()).or_insert(now);
-            now.saturating_duration_since(since) < MISSING_CONTROL_RETENTION
-        });
-        let controls = &self.controls;
-        missing.retain(|vm, _| controls.iter().any(|c| c.vm == *vm));
-        self.controls.extend(listed);
-    }
-
     /// Sends to the control VM, if one is connected.
     pub(super) fn send(&self, frame: &Frame) {
         if let Some(link) = &self.link {
--- a/src/fleet/control_selector.rs
+++ b/src/fleet/control_selector.rs
@@ -19,6 +19,42 @@
 /// A control VM that failed comes last for this long: about as long as a network failure lasts.
 pub const FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 
+/// A control VM that is missing in the lists is kept for this long: longer than most cuts of the core.
+pub const MISSING_RETENTION: Duration = Duration::from_secs(20);
+
+/// The control VMs that an entry VM knows from the lists of the one that it is connected to.
+#[derive(Debug, Default)]
+pub struct ControlList {
+    /// The last list: the control VM and those connected to it.
+    listed: Vec<ControlVm>,
+    /// Those that the last list lacks, and since when. A control VM that is cut off lists only its own side.
+    missing: Vec<(ControlVm, Instant)>,
+}
+
+impl ControlList {
+    /// Replaces the last list.
+    pub fn update(&mut self, now: Instant, listed: Vec<ControlVm>) {
+        let former = std::mem::replace(&mut self.listed, listed);
+        self.missing.extend(former.into_iter().map(|c| (c, now)));
+        let listed = &self.listed;
+        self.missing.retain(|(control, since)| {
+            let is_recent = now.saturating_duration_since(*since) < MISSING_RETENTION;
+            is_recent && !listed.iter().any(|c| c.vm == control.vm)
+        });
+    }
+
+    /// The control VMs of the last list.
+    pub fn listed(&self) -> &[ControlVm] {
+        &self.listed
+    }
+
+    /// The control VMs of the last list, and those that it lacks.
+    pub fn all(&self) -> Vec<ControlVm> {
+        let missing = self.missing.iter().map(|(control, _)| control);
+        self.listed.iter().chain(missing).cloned().collect()
+    }
+}
+
 /// Why an entry VM left a control VM.
 #[derive(Debug, Display)]
 pub enum LeaveReason {
@@ -90,9 +126,9 @@
 
     /// Records the control VMs that one without a leader is connected to. If the control group is cut in two, they
     /// are on its side, and a leader is among the others.
-    pub fn record_cut_off(&mut self, now: Instant, connected: &[VmName]) {
+    pub fn record_cut_off(&mut self, now: Instant, connected: &[ControlVm]) {
         self.cut_off_at
-            .extend(connected.iter().map(|vm| (vm.clone(), now)));
+            .extend(connected.iter().map(|c| (c.vm.clone(), now)));
     }
 
     /// Whether `vm` is in another failure domain although one of the own domain did not fail recently.
--- a/tests/fleet/control_selector.rs
+++ b/tests/fleet/control_selector.rs
@@ -1,9 +1,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use zinnialoom::fleet::control_selector::ControlList;
 use zinnialoom::fleet::control_selector::ControlSelector;
 use zinnialoom::fleet::control_selector::FAILURE_BACKOFF;
 use zinnialoom::fleet::control_selector::LeaveReason;
+use zinnialoom::fleet::control_selector::MISSING_RETENTION;
 use zinnialoom::fleet::message::ControlVm;
 use zinnialoom::fleet::message::EntryVm;
 use zinnialoom::id::VmName;
@@ -81,9 +83,9 @@
 fn the_other_side_of_a_cut_is_tried_first() {
     let now = Instant::now();
     let mut selector = ControlSelector::default();
-    let connected: Vec<VmName> = vec!["c1".into(), "c2".into(), "c3".into()];
+    let connected = &five_controls()[..3];
     selector.mark_tried(&"c1".into());
-    selector.record_cut_off(now, &connected);
+    selector.record_cut_off(now, connected);
     selector.record_leave(&"c1".into(), now, &LeaveReason::Stale);
     for _ in 0..2 {
         let next = selector.next(now, &local_entry(), &five_controls(), &[]).unwrap();
@@ -96,3 +98,29 @@
     let later = selector.next(now + FAILURE_BACKOFF, &local_entry(), &five_controls(), &[]);
     assert!(["c1", "c2"].contains(&later.unwrap().as_str()));
 }
+
+/// Guards against an entry VM that forgets the other side of a cut, and against one that leaves its control VM again and
+/// again for a nearer one that is down.
+#[test]
+fn control_vms_that_a_list_lacks_are_kept_but_not_preferred() {
+    let now = Instant::now();
+    let mut list = ControlList::default();
+    list.update(now, five_controls());
+    list.update(now + Duration::from_secs(60), five_controls()[2..].to_vec());
+    let later = now + Duration::from_secs(61);
+    list.update(later, five_controls()[2..4].to_vec());
+    assert_eq!(list.all().len(), 5);
+    let selector = ControlSelector::default();
+    assert!(!selector.has_nearer(later, &"c3".into(), &local_entry(), list.listed()));
+    assert!(selector.has_nearer(later, &"c3".into(), &local_entry(), &five_controls()));
+    list.update(
+        now + Duration::from_secs(60) + MISSING_RETENTION,
+        five_controls()[2..4].to_vec(),
+    );
+    let names: Vec<VmName> = list.all().into_iter().map(|c| c.vm).collect();
+    assert_eq!(
+        names,
+        ["c3", "c4", "c5"],
+        "c1 and c2 have been missing for longer"
+    );
+}
