Keep the token buckets of a leader whose role lapses within its term

Now a lease that resumes in the same term goes on with its buckets: a majority that answers a round of that term elected nobody before the round. Start, resumption and end have log lines.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,8 +3,8 @@
 //! Control VMs are connected to each other and accept connections of entry VMs. The messages carry the
 //! replicated log, the configuration, announcements of upstreams, results of requests at upstreams, token
 //! grants, and the list of entry VMs. The decisions are made in modules without input and output:
-//! [`discovery`], [`health`], [`upstream_selector`], [`retry_budget`], [`entry_vms`], [`control_selector`]
-//! and [`leader_history`].
+//! [`discovery`], [`health`], [`upstream_selector`], [`retry_budget`], [`entry_vms`], [`control_selector`],
+//! [`leader_history`], [`token_lease`] and [`vm_count`].
 
 pub mod control_client;
 pub mod control_selector;
@@ -19,5 +19,6 @@
 pub mod message;
 pub mod process;
 pub mod retry_budget;
+pub mod token_lease;
 pub mod upstream_selector;
 pub mod vm_count;
--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -390,7 +390,7 @@
         let spender = request.spender.clone();
         let mut state = self.state.lock();
         state.update_lease(now, &status, self.excess);
-        let grant: Grant = match (state.lease, view.customers.get(&request.customer)) {
+        let grant: Grant = match (state.lease.get(), view.customers.get(&request.customer)) {
             (Some(lease), Some(customer)) => {
                 state.owner.grant(now, lease, TOKEN_PARTITION, customer, &request)
             }
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -14,7 +14,6 @@
 use crate::fleet::discovery::UpstreamTable;
 use crate::fleet::entry_vms::EntryVms;
 use crate::fleet::health::HealthUpdate;
-use crate::fleet::leader_history::LeaderHistory;
 use crate::fleet::link;
 use crate::fleet::link::HEARTBEAT_PERIOD;
 use crate::fleet::link::Link;
@@ -24,6 +23,8 @@
 use crate::fleet::message::Frame;
 use crate::fleet::retry_budget::FleetUsage;
 use crate::fleet::retry_budget::Totals;
+use crate::fleet::token_lease::LeaseChange;
+use crate::fleet::token_lease::TokenLease;
 use crate::grant::Excess;
 use crate::grant::Owner;
 use crate::id::DomainName;
@@ -31,19 +32,13 @@
 use crate::id::UpstreamId;
 use crate::id::Version;
 use crate::id::VmName;
-use crate::lease::Lease;
 use crate::quarantine::CrashTable;
 use crate::replica::ReplicaStatus;
-use crate::replica::Role;
 
 /// Time after which a control VM that is neither connected here nor listed by another control VM is no longer
 /// known.
 pub(super) const CONTROL_RETENTION: Duration = Duration::from_secs(20);
 
-/// Length of the leader's lease for granting tokens, renewed while it leads. The grants of a leader that
-/// lost its majority end with the lease.
-const LEADER_LEASE: Duration = Duration::from_secs(1);
-
 /// A connection counts as live for this many heartbeat periods after its last message.
 const LIVE_HEARTBEATS: u32 = 2;
 
@@ -123,9 +118,8 @@
     pub(super) own_entries_changed: bool,
     /// Grants tokens from the token buckets while this VM leads.
     pub(super) owner: Owner,
-    /// Right to grant tokens; `None` while this VM does not lead.
-    pub(super) lease: Option<Lease>,
-    pub(super) leader_history: LeaderHistory,
+    /// Right to grant tokens.
+    pub(super) lease: TokenLease,
     /// Open calls to the leader, by number.
     pub(super) pending_calls: HashMap<u64, oneshot::Sender<CallOutcome>>,
     /// Successes that are forwarded with the next report to the control VMs.
@@ -155,26 +149,17 @@
 impl State {
     /// Starts, renews or ends the lease for granting tokens, by the role of this VM.
     pub(super) fn update_lease(&mut self, now: Instant, status: &ReplicaStatus, excess: Excess) {
-        if status.leader.is_some() {
-            self.leader_history.observe(now, status.term);
-        }
-        if status.role != Role::Leader {
-            self.lease = None;
-            return;
-        }
-        let end = now + LEADER_LEASE;
-        if let Some(lease) = self.lease.as_mut().filter(|l| now < l.end) {
-            lease.end = end;
-            return;
+        let term = status.term;
+        match self.lease.update(now, status, excess.window) {
+            LeaseChange::Started { is_steady } => {
+                info!("tokens granted by this VM: term={term} credit={is_steady}");
+                self.owner
+                    .set_initial_excess(if is_steady { excess } else { Excess::default() });
+            }
+            LeaseChange::Resumed => info!("tokens granted again by this VM: term={term}"),
+            LeaseChange::Ended => info!("tokens no longer granted by this VM: term={term}"),
+            LeaseChange::Unchanged => {}
         }
-        self.lease = Some(Lease { since: now, end });
-        let is_steady = self.leader_history.is_steady(excess.window);
-        info!(
-            "tokens granted by this VM: term={} credit={is_steady}",
-            status.term
-        );
-        self.owner
-            .set_initial_excess(if is_steady { excess } else { Excess::default() });
     }
 
     /// Returns the report if it holds failures, so that it is forwarded at once; otherwise keeps its
@@ -245,7 +230,6 @@
             own_entries_changed: Default::default(),
             owner: Owner::with_shares(TOKEN_SHARES),
             lease: Default::default(),
-            leader_history: Default::default(),
             pending_calls: Default::default(),
             pending_successes: Default::default(),
             pending_refreshes: Default::default(),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -45,6 +45,8 @@
 mod seeds;
 #[path = "../examples/selection_bench/world.rs"]
 mod selection_world;
+#[path = "fleet/token_lease.rs"]
+mod token_lease;
 #[path = "fleet/unconfirmed.rs"]
 mod unconfirmed;
 #[path = "fleet/upstream_selector.rs"]
