Check the quarantine again before a request is sent, and try seeds that no list has last

A request that waited for a connection was sent although its fingerprint had been blocked meanwhile.

Evidence: tests/path/quarantine.rs (a_request_that_is_blocked_while_it_waits_is_not_sent) and tests/fleet/control_selector.rs (the_other_side_of_a_cut_is_tried_first, now with a seed) fail with the checks taken out.

--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -194,7 +194,12 @@
     fn is_available(&self, chosen: &ChosenUpstream) -> bool {
         let state = self.shared.state.lock();
         let (id, run_start) = (&chosen.upstream, chosen.run_start);
-        state.selector.is_available(Instant::now(), id, run_start) && !state.view.has_departed(id, run_start)
+        let is_current = match state.upstreams.get(id) {
+            Some(listed) => listed.report.born == run_start,
+            // An upstream may also be missing in the list of a control VM that has just started.
+            None => !state.view.has_departed(id, run_start),
+        };
+        is_current && state.selector.is_available(Instant::now(), id, run_start)
     }
 
     fn finish(&self, chosen: ChosenUpstream, sample: Sample) {
--- a/src/fleet/control_selector.rs
+++ b/src/fleet/control_selector.rs
@@ -96,10 +96,11 @@
         let mut ranked = rendezvous::ranked(key, names.iter().copied());
         let domain = |vm: &VmName| controls.iter().find(|c| c.vm == *vm).map(|c| &c.domain);
         ranked.sort_by_key(|vm| {
-            // Seeds whose domain is not known yet come after the listed control VMs.
-            let far = domain(vm) != Some(&local.domain);
+            // Seeds that were never listed come after the listed control VMs, as they may have been replaced.
+            let is_unlisted = domain(vm).is_none();
             let cut_off = is_recent(now, self.cut_off_at.get(*vm));
-            (self.failed_recently(now, vm), cut_off, far, domain(vm).is_none())
+            let far = domain(vm) != Some(&local.domain);
+            (self.failed_recently(now, vm), is_unlisted, cut_off, far)
         });
         ranked.into_iter().find(|vm| !self.tried.contains(*vm)).cloned()
     }
--- a/src/fleet/control_server/tick.rs
+++ b/src/fleet/control_server/tick.rs
@@ -136,7 +136,7 @@
                 false => 0,
             };
         }
-        // The first empty report, which all control VMs get, tells that there are none left.
+        // The first empty report, which all control VMs get, ends the ones before.
         if state.idle_reports > 1 {
             return;
         }
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -44,7 +44,7 @@
     /// Opening the connection took too long.
     #[display("connect: no answer")]
     Late,
-    /// The upstream has left, or wants no requests, since it was chosen.
+    /// The upstream has left, or is closed to requests, since it was chosen.
     #[display("the upstream takes no more requests")]
     Unavailable,
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -18,7 +18,6 @@
 use async_std::task;
 use futures::future::Either;
 use futures::future::select;
-use log::info;
 use prometheus::Registry;
 use smol_str::SmolStr;
 use tide::http::Request;
@@ -49,6 +48,8 @@
 use crate::view::View;
 
 mod attempt;
+mod connect;
+mod crash;
 mod forward;
 mod key;
 mod meter;
@@ -302,22 +303,7 @@
         admitted.customer = customer.as_ref().map(|c| c.id.clone());
         admitted.key_digest = digest;
         admitted.fingerprint = admitted.compute_fingerprint();
-        if self
-            .stages
-            .quarantine
-            .is_blocked(&admitted.fingerprint, Instant::now())
-        {
-            self.meter.count_quarantined();
-            info!(
-                "request blocked: id={} fingerprint={}",
-                admitted.id,
-                admitted.short_fingerprint()
-            );
-            return Err(match self.settings.soft_quarantine {
-                true => Error::new(Code::NoUpstream, Code::Quarantined.text()),
-                false => Code::Quarantined.into(),
-            });
-        }
+        self.check_quarantine(&admitted)?;
         let id = request::claim_id(&request, &admitted)?;
         if let Some(customer) = &customer {
             self.stages.limits.take_token(customer, deadline).await?;
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -39,14 +39,12 @@
 
 use super::Shared;
 use super::Stages;
+use super::connect;
 use super::forward;
 use super::notices;
 use super::request::AdmittedRequest;
 use super::response;
 
-/// Time between checks, while a request waits for a connection, that its upstream still takes requests.
-const AVAILABLE_PERIOD: Duration = Duration::from_millis(100);
-
 /// Outcome of an attempt, which decides whether the request may be sent again; see section 5.3 of the design.
 pub(crate) enum Outcome {
     /// No connection could be made, or the kernel accepted no byte.
@@ -291,7 +289,7 @@
     before_send: &(impl Fn() -> Result<()> + Sync),
 ) -> TimedOutcome {
     let mut timing = Timing::start();
-    let error = match acquire(shared, request, chosen, reuse).await {
+    let error = match connect::acquire(shared, request, chosen, reuse).await {
         Ok(conn) => {
             fail::fail_point!("proxy-connected");
             let outcome = match before_send() {
@@ -315,31 +313,6 @@
     )
 }
 
-/// A connection to the upstream, unless it has left or wants no requests by the time that there is one.
-///
-/// # Errors
-/// `Unavailable`, and the errors of [`Pool::acquire`](crate::pool::Pool::acquire).
-async fn acquire<S: Stages>(
-    shared: &Shared<S>,
-    request: &AdmittedRequest,
-    chosen: &ChosenUpstream,
-    reuse: bool,
-) -> std::result::Result<Connection, ConnectError> {
-    let is_available = || shared.stages.chooser.is_available(chosen);
-    let mut acquired = pin!(shared.pool.acquire(chosen, reuse, request.time_left()));
-    let conn = loop {
-        match future::timeout(AVAILABLE_PERIOD, acquired.as_mut()).await {
-            Ok(conn) => break conn?,
-            Err(_) if is_available() => {}
-            Err(_) => return Err(ConnectError::Unavailable),
-        }
-    };
-    match is_available() {
-        true => Ok(conn),
-        false => Err(ConnectError::Unavailable),
-    }
-}
-
 /// Writes the request on a connection and reads the answer; sets `silent` if no byte of it has come within
 /// the limit for a reused connection.
 async fn exchange<S: Stages>(
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -20,7 +20,6 @@
 use tide::http::StatusCode;
 
 use crate::answer;
-use crate::answer::ResponseHead;
 use crate::code::Code;
 use crate::code::Execution;
 use crate::error::Error;
@@ -49,9 +48,6 @@
 const MAX_ATTEMPTS: usize = 4;
 /// How many upstreams of one request may be unreachable; they do not count as attempts.
 const MAX_UNSENT: usize = 6;
-/// How long a request waits for the report of a crash to all VMs.
-const CRASH_REPORT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// How long an answer is held back at most while it is recorded with its claim. Without the wait, a caller
 /// that repeats the request at once would get `InProgress`; unreachable holders of the claim must not delay
 /// the answer further.
@@ -350,7 +346,7 @@
     /// Checks, just before the first byte of an attempt is sent, that the request may still be sent.
     ///
     /// # Errors
-    /// `DeadlineBefore`, `ClaimUnavailable`, or an error of the key or the configuration.
+    /// `DeadlineBefore`, `ClaimUnavailable`, or an error of the key, the configuration or the quarantine.
     fn check_send(&self, request: &AdmittedRequest, ticket: Option<&Ticket<S>>) -> Result<()> {
         if request.has_caller_left() && !request.idempotent {
             return Err(Error::new(
@@ -362,6 +358,8 @@
             return Err(Code::DeadlineBefore.into());
         }
         self.check_key(request)?;
+        // Other VMs may have reported crashes while the request waited.
+        self.check_quarantine(request)?;
         if ticket.is_some_and(|t| !self.stages.claims.is_valid(t, Instant::now())) {
             return Err(Error::new(Code::ClaimUnavailable, "the claim is too old"));
         }
@@ -375,41 +373,6 @@
             && answer.head.status != StatusCode::NotImplemented
     }
 
-    /// Reports a possible crash of the upstream if the connection died. The report precedes the answer, after
-    /// which the caller may send the request again.
-    pub(super) async fn report_crash(
-        &self,
-        request: &AdmittedRequest,
-        flight: &InFlight<S>,
-        result: AttemptResult,
-    ) {
-        // A reused connection may also have ended because it was idle for too long; the next attempt, on a new
-        // connection, is answered then, and its answer counts against the crash.
-        if !matches!(
-            result,
-            AttemptResult::Died | AttemptResult::Cut | AttemptResult::Stale
-        ) {
-            return;
-        }
-        self.meter.count_mid_request_end(result);
-        info!(
-            "connection ended in mid-request: id={} upstream={} result={result} fingerprint={}",
-            request.id,
-            flight.upstream().unwrap_or_default(),
-            request.short_fingerprint()
-        );
-        let report = self.stages.quarantine.report(&request.fingerprint);
-        let _ = future::timeout(CRASH_REPORT_TIMEOUT, report).await;
-    }
-
-    /// Takes back a crash of an upstream after an answer that was read to its end. An upstream that fails requests
-    /// may answer with an error before it runs them.
-    pub(super) fn record_answer(&self, request: &AdmittedRequest, head: &ResponseHead) {
-        if !head.status.is_server_error() {
-            self.stages.quarantine.record_answer(&request.fingerprint);
-        }
-    }
-
     /// Records an answer that was read to its end, or starts to relay the rest of an open one.
     async fn answer(
         self: &Arc<Self>,
--- a/src/stage.rs
+++ b/src/stage.rs
@@ -198,7 +198,7 @@
     /// `NoUpstream` if the service has none, `Overloaded` if all are at their cap on requests in flight.
     fn choose(&self, criteria: &ChoiceCriteria<'_>) -> Result<ChosenUpstream>;
 
-    /// Whether a request may still be sent to an upstream that was chosen for it: it may have left, or want no
+    /// Whether a request may still be sent to an upstream that was chosen for it: it may have left, or be closed to
     /// requests, since then.
     fn is_available(&self, _chosen: &ChosenUpstream) -> bool {
         true
--- a/tests/fleet/control_selector.rs
+++ b/tests/fleet/control_selector.rs
@@ -87,12 +87,18 @@
     selector.mark_tried(&"c1".into());
     selector.record_cut_off(now, connected);
     selector.record_leave(&"c1".into(), now, &LeaveReason::Stale);
+    // A seed that no list has may have been replaced.
+    let seeds: Vec<VmName> = vec!["s1".into()];
     for _ in 0..2 {
-        let next = selector.next(now, &local_entry(), &five_controls(), &[]).unwrap();
+        let next = selector
+            .next(now, &local_entry(), &five_controls(), &seeds)
+            .unwrap();
         assert!(["c4", "c5"].contains(&next.as_str()), "{next}");
         selector.mark_tried(&next);
     }
-    let next = selector.next(now, &local_entry(), &five_controls(), &[]).unwrap();
+    let next = selector
+        .next(now, &local_entry(), &five_controls(), &seeds)
+        .unwrap();
     assert_eq!(next, "c2", "then those of the same side, near ones first");
     selector.start_round();
     let later = selector.next(now + FAILURE_BACKOFF, &local_entry(), &five_controls(), &[]);
--- a/tests/path/quarantine.rs
+++ b/tests/path/quarantine.rs
@@ -3,16 +3,22 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use async_std::task;
+use zinnialoom::code::Code;
 use zinnialoom::view::View;
 
 use crate::fakes::Entry;
+use crate::fakes::outcome;
 use crate::fakes::request;
 use crate::fakes::status;
 use crate::script::Line;
 use crate::script::OK;
 use crate::script::Script;
 use crate::script::Step::Answer;
+use crate::script::Step::Read;
+use crate::script::Step::Wait;
 
 /// Ends its connection when it has read the second request.
 const CRASH_ON_SECOND: &[Line] = &[&[Answer(OK), Answer("")]];
@@ -103,3 +109,25 @@
         assert_eq!((reports, answers), (1, 0), "{answer:?}");
     }
 }
+
+/// Guards against a request that is sent although it was blocked while it waited for a connection.
+#[async_std::test]
+async fn a_request_that_is_blocked_while_it_waits_is_not_sent() {
+    let script = Script::start(&[&[Read(1), Wait(700), Answer(OK)]]).await;
+    let entry = Arc::new(Entry::start(&[script.address]).await);
+    entry.fakes.connections.store(1, Ordering::SeqCst);
+    let send = |entry: Arc<Entry>| async move {
+        entry
+            .send_request("POST", "/forecast", "content-length: 0\r\n")
+            .await
+    };
+    let first = task::spawn(send(entry.clone()));
+    task::sleep(Duration::from_millis(200)).await;
+    let second = task::spawn(send(entry.clone()));
+    task::sleep(Duration::from_millis(200)).await;
+    entry.fakes.blocked.store(true, Ordering::SeqCst);
+    assert_eq!(status(&first.await), 200);
+    let refused = (422, Code::Quarantined.number(), "no".into());
+    assert_eq!(outcome(&second.await), refused);
+    assert_eq!(script.requests(), 1);
+}
