Name the sources of a build in its log and version

Nothing that a process writes or prints says of which sources it was built, so a program of an earlier checkout under target/ cannot be told from a fault of the checkout.

--- a/src/bin/zinnia-control/app.rs
+++ b/src/bin/zinnia-control/app.rs
@@ -47,7 +47,7 @@
 
 async fn execute(flags: Flags) -> Result<()> {
     if flags.version {
-        println!("zinnia-control {}", env!("CARGO_PKG_VERSION"));
+        println!("zinnia-control {}", cli::VERSION);
         return Ok(());
     }
     let path = flags
@@ -61,6 +61,7 @@
         return Ok(());
     }
     logger::open_stderr(&settings.common)?;
+    cli::log_start("zinnia-control");
     serve(&settings).await
 }
 
--- a/src/bin/zinnia-ctl/app.rs
+++ b/src/bin/zinnia-ctl/app.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use zinnialoom::cli;
 use zinnialoom::code::Code;
 use zinnialoom::error::Error;
 use zinnialoom::error::Result;
@@ -71,7 +72,7 @@
 
 async fn execute(mut flags: Flags) -> Result<i32> {
     if flags.version {
-        println!("zinnia-ctl {}", env!("CARGO_PKG_VERSION"));
+        println!("zinnia-ctl {}", cli::VERSION);
         return Ok(0);
     }
     let command = flags
--- a/src/bin/zinnia-entry/app.rs
+++ b/src/bin/zinnia-entry/app.rs
@@ -48,7 +48,7 @@
 
 async fn execute(flags: Flags) -> Result<()> {
     if flags.version {
-        println!("zinnia-entry {}", env!("CARGO_PKG_VERSION"));
+        println!("zinnia-entry {}", cli::VERSION);
         return Ok(());
     }
     let path = flags
@@ -62,6 +62,7 @@
         return Ok(());
     }
     logger::open_stderr(&settings.common)?;
+    cli::log_start("zinnia-entry");
     serve(&settings, secret).await
 }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,11 +5,30 @@
 
 use argh::FromArgs;
 use async_std::task;
+use log::info;
 
 use crate::code::Code;
 use crate::error::Result;
 use crate::logger;
 
+/// Version of the programs, with the id of the sources that they were built of (see `build.rs`).
+pub const VERSION: &str = concat!(
+    env!("CARGO_PKG_VERSION"),
+    " (source ",
+    env!("ZINNIALOOM_SOURCE"),
+    ")"
+);
+
+/// Logs the start of a process, so that its log shows which build ran.
+pub fn log_start(program: &str) {
+    info!(
+        "process started: program={program} version={} source={} pid={}",
+        env!("CARGO_PKG_VERSION"),
+        env!("ZINNIALOOM_SOURCE"),
+        std::process::id()
+    );
+}
+
 /// Parses the command line, runs the program and returns the exit code of the process.
 ///
 /// Help goes to standard output; errors go to standard error with the name of the program. Queued log
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -300,6 +300,7 @@
             &self.settings.conventions,
         );
         admitted.id = trace.id.clone();
+        trace.once = Some(!admitted.idempotent);
         admitted.customer = customer.as_ref().map(|c| c.id.clone());
         admitted.key_digest = digest;
         admitted.fingerprint = admitted.compute_fingerprint();
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -30,6 +30,8 @@
     pub(crate) customer: Option<CustomerId>,
     pub(crate) service: Option<ServiceId>,
     pub(crate) route: Option<RouteId>,
+    /// Whether the request may run once at most; `None` if that was not decided.
+    pub(crate) once: Option<bool>,
     /// Version of the configuration by which it was admitted or refused.
     pub(crate) version: Version,
 }
@@ -52,9 +54,10 @@
     /// Logs the result of the request; one without an answer of an upstream is also recorded as an event.
     pub(crate) fn end(&self, completion: &mut Completion, elapsed: Duration) {
         info!(
-            "request: id={} route={} service={} customer={} version={} code={} run={} status={} ms={} detail=\"{}\"",
+            "request: id={} route={} once={} service={} customer={} version={} code={} run={} status={} ms={} detail=\"{}\"",
             self.id,
             self.route.as_deref().unwrap_or("-"),
+            self.once.map_or("-", |once| if once { "yes" } else { "no" }),
             self.service.as_deref().unwrap_or("-"),
             self.customer.as_deref().unwrap_or("-"),
             self.version,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -10,6 +10,8 @@
 const EVENTS: &str = env!("CARGO_BIN_EXE_zinnia-events");
 const ENTRY: &str = env!("CARGO_BIN_EXE_zinnia-entry");
 const CONTROL: &str = env!("CARGO_BIN_EXE_zinnia-control");
+const CTL: &str = env!("CARGO_BIN_EXE_zinnia-ctl");
+const PLATFORM: &str = env!("CARGO_BIN_EXE_zinnia-platform");
 
 fn run(program: &str, words: &[&str]) -> Output {
     Command::new(program).args(words).output().unwrap()
@@ -46,6 +48,22 @@
     assert_eq!(code(&missing), Some(3), "{}", stderr(&missing));
 }
 
+/// Guards against a program of other sources, left over from an earlier build, that is taken for the checkout's.
+#[test]
+fn the_version_names_the_sources() {
+    for program in [ENTRY, CONTROL, CTL, PLATFORM] {
+        let output = run(program, &["--version"]);
+        assert_eq!(code(&output), Some(0), "{program}: {}", stderr(&output));
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        let id = text
+            .trim_end()
+            .split_once("(source ")
+            .and_then(|(_, id)| id.strip_suffix(')'));
+        let is_id = |id: &str| id.len() == 12 && id.bytes().all(|b| b.is_ascii_hexdigit());
+        assert!(id.is_some_and(is_id), "{program}: {text:?}");
+    }
+}
+
 /// Guards against a process that starts with invalid settings, or reports only the first mistake.
 #[test]
 fn each_mistake_in_settings_is_printed_and_nothing_is_started() {
