Count a crash only when the upstream's run has ended

What callers saw: 2 s in which upstreams lost nine of ten answers blocked the most frequent request for the rest of the run: 0 of 295 served after the failure, while other requests were served at once; code 106 with a fixed Retry-After of 0.250 and a reason that counted two crashes where three were counted.

Cause: each connection that ended inside a request counted as a crash of its upstream, and a gray failure resets most connections of the request that is sent most often.

Now the upstream is looked at after such an end. It crashed if it refuses new connections twice, 200 ms apart, or if a later run is listed; it did not if it accepts one or had announced that it leaves, or if requests with the fingerprint are answered. Ruled out as evidence: heartbeats, which come late, and other connections, whose resets may be lost.

An order is still sent once: a second connection to its upstream may only show that it is accepted, and no byte may come on it.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -72,7 +72,7 @@
     response.set_content_type(mime::JSON);
     response.insert_header("zinnia-code", code.number().to_string());
     response.insert_header("zinnia-run", execution.to_string());
-    if let Some(delay) = code.retry_after() {
+    if let Some(delay) = error.delay.or(code.retry_after()) {
         response.insert_header("retry-after", format!("{:.3}", delay.as_secs_f64()));
     }
     response
--- a/src/code.rs
+++ b/src/code.rs
@@ -65,7 +65,7 @@
     ClaimUnavailable = 109,
     #[strum(message = "the route requires an idempotency-key header")]
     IdRequired = 110,
-    #[strum(message = "the same request crashed two upstreams and is blocked for a while")]
+    #[strum(message = "the same request crashed several upstreams and is blocked for a while")]
     Quarantined = 111,
     #[strum(message = "the deadline passed before the request was sent")]
     DeadlineBefore = 112,
--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -37,6 +37,7 @@
 use crate::quarantine::MAX_BLOCK_TIME;
 use crate::rendezvous;
 use crate::secret::Secret;
+use crate::stage::Block;
 use crate::stage::Config;
 use crate::stage::Quarantine;
 
@@ -140,8 +141,8 @@
 }
 
 impl<C: Config> Quarantine for FleetQuarantine<C> {
-    fn is_blocked(&self, fingerprint: &str, now: Instant) -> bool {
-        self.inner.crashes.lock().unwrap().is_blocked(now, fingerprint)
+    fn block(&self, fingerprint: &str, now: Instant) -> Option<Block> {
+        self.inner.crashes.lock().unwrap().block(now, fingerprint)
     }
 
     async fn report(&self, fingerprint: &str) {
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,6 +1,7 @@
 //! The error type of the library.
 
 use std::io;
+use std::time::Duration;
 
 use derive_more::Display;
 use derive_more::Error;
@@ -20,6 +21,9 @@
     /// What failed, without any key or secret.
     #[error(not(source))]
     pub detail: String,
+    /// Delay before a retry, where it is known better than by the code.
+    #[error(not(source))]
+    pub delay: Option<Duration>,
 }
 
 impl Error {
@@ -28,9 +32,16 @@
         Self {
             code,
             detail: detail.into(),
+            delay: None,
         }
     }
 
+    /// The same error with the delay before a retry.
+    pub fn retry_after(self, delay: Duration) -> Self {
+        let delay = Some(delay);
+        Self { delay, ..self }
+    }
+
     /// An input or output error of a target, such as a file or an address.
     pub fn io(target: impl std::fmt::Display, error: &io::Error) -> Self {
         Self::new(Code::Io, format!("{target}: {error}"))
--- a/src/fleet/control_client/stages.rs
+++ b/src/fleet/control_client/stages.rs
@@ -29,6 +29,7 @@
 use crate::quarantine;
 use crate::quarantine::CrashRecord;
 use crate::stage::AttemptResult;
+use crate::stage::Block;
 use crate::stage::ChoiceCriteria;
 use crate::stage::Chooser;
 use crate::stage::ChosenUpstream;
@@ -39,6 +40,7 @@
 use crate::stage::Config;
 use crate::stage::Limits;
 use crate::stage::Quarantine;
+use crate::stage::RunState;
 use crate::stage::Sample;
 use crate::view::Customer;
 use crate::view::Route;
@@ -202,6 +204,18 @@
         is_current && state.selector.is_available(Instant::now(), id, run_start)
     }
 
+    fn run_state(&self, chosen: &ChosenUpstream) -> RunState {
+        let state = self.shared.state.lock();
+        let (id, run_start) = (&chosen.upstream, chosen.run_start);
+        if state.view.has_departed(id, run_start) || state.selector.is_leaving(id, run_start) {
+            return RunState::Left;
+        }
+        match state.upstreams.get(id) {
+            Some(listed) if listed.report.born > run_start => RunState::Replaced,
+            _ => RunState::Unknown,
+        }
+    }
+
     fn finish(&self, chosen: ChosenUpstream, sample: Sample) {
         let now = Instant::now();
         let mut state = self.shared.state.lock();
@@ -348,9 +362,9 @@
 }
 
 impl Quarantine for ControlClient {
-    fn is_blocked(&self, fingerprint: &str, now: Instant) -> bool {
+    fn block(&self, fingerprint: &str, now: Instant) -> Option<Block> {
         let state = self.shared.state.lock();
-        state.crashes.is_blocked(now, fingerprint)
+        state.crashes.block(now, fingerprint)
     }
 
     fn record_answer(&self, fingerprint: &str) {
--- a/src/fleet/upstream_selector.rs
+++ b/src/fleet/upstream_selector.rs
@@ -429,7 +429,8 @@
         self.remote_in_flight.retain(|id, _| is_listed(id));
     }
 
-    fn is_leaving(&self, id: &UpstreamId, run_start: u64) -> bool {
+    /// Whether a run of an upstream stated that it leaves.
+    pub fn is_leaving(&self, id: &UpstreamId, run_start: u64) -> bool {
         self.leaving.get(id).is_some_and(|left| run_start <= *left)
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod component;
 pub mod control;
 pub mod conventions;
+pub mod crash_check;
 pub mod crashes;
 pub mod detect;
 pub mod directory;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -27,6 +27,9 @@
 /// Time limit for opening a connection. It takes about 1 ms inside a region; a lost packet is sent again only
 /// after 1 s, by which time another upstream has answered.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a connection that was opened only to see whether the upstream accepts it is kept idle: the upstream has
+/// stated no idle timeout on it.
+const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long before the upstream's own idle timeout an idle connection expires.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
 /// Interval at which expired idle connections are removed.
@@ -175,6 +178,38 @@
         }
     }
 
+    /// Whether the upstream accepts a new connection, which is kept for the next request for [`PROBE_IDLE_TIMEOUT`]
+    /// if the VM has room for one more.
+    ///
+    /// # Errors
+    /// `Refused` if it doesn't, `Late` if it doesn't answer.
+    pub(crate) async fn probe(&self, chosen: &ChosenUpstream) -> Result<(), ConnectError> {
+        let Some(guard) = self.try_open_spare(chosen) else {
+            return open_stream(chosen, CONNECT_TIMEOUT).await.map(drop);
+        };
+        let conn = connect(chosen, guard, CONNECT_TIMEOUT).await?;
+        self.release(conn, Some(PROBE_IDLE_TIMEOUT + CLOSE_MARGIN));
+        Ok(())
+    }
+
+    /// A guard for a new connection if the VM may have one more and no request waits for it.
+    fn try_open_spare(&self, chosen: &ChosenUpstream) -> Option<OpenGuard> {
+        let mut pools = self.pools.lock().unwrap();
+        let pool = pools.entry(chosen.address).or_default();
+        if pool.open >= chosen.connections.max(1) {
+            return None;
+        }
+        pool.open += 1;
+        Some(self.guard(chosen.address))
+    }
+
+    fn guard(&self, address: SocketAddr) -> OpenGuard {
+        OpenGuard {
+            address,
+            pools: Arc::downgrade(&self.pools),
+        }
+    }
+
     /// An idle connection that has not expired and from which nothing can be read.
     async fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         loop {
@@ -203,10 +238,7 @@
         // Dropping the spare connection locks the table.
         drop(pools);
         drop(spare);
-        Ok(OpenGuard {
-            address: chosen.address,
-            pools: Arc::downgrade(&self.pools),
-        })
+        Ok(self.guard(chosen.address))
     }
 
     /// Returns a connection whose last answer was read to its end.
@@ -246,11 +278,7 @@
     guard: OpenGuard,
     timeout: Duration,
 ) -> Result<Connection, ConnectError> {
-    let connect = TcpStream::connect(chosen.address);
-    let stream = future::timeout(timeout.min(CONNECT_TIMEOUT), connect)
-        .await
-        .map_err(|_| ConnectError::Late)?
-        .map_err(ConnectError::Refused)?;
+    let stream = open_stream(chosen, timeout.min(CONNECT_TIMEOUT)).await?;
     let _ = stream.set_nodelay(true);
     Ok(Connection {
         stream,
@@ -259,6 +287,13 @@
     })
 }
 
+async fn open_stream(chosen: &ChosenUpstream, timeout: Duration) -> Result<TcpStream, ConnectError> {
+    future::timeout(timeout, TcpStream::connect(chosen.address))
+        .await
+        .map_err(|_| ConnectError::Late)?
+        .map_err(ConnectError::Refused)
+}
+
 /// Whether a read would not block: bytes have arrived, or the connection was closed or failed.
 fn is_readable(stream: &TcpStream) -> bool {
     stream.peek(&mut [0]).now_or_never().is_some()
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -18,6 +18,7 @@
 use async_std::task;
 use futures::future::Either;
 use futures::future::select;
+use parking_lot::Mutex;
 use prometheus::Registry;
 use smol_str::SmolStr;
 use tide::http::Request;
@@ -61,6 +62,7 @@
 mod stream;
 mod trace;
 
+use self::crash::PossibleCrashes;
 use self::meter::Meter;
 use self::queue::Queue;
 use self::request::AdmittedRequest;
@@ -167,6 +169,7 @@
     pool: Pool,
     queue: Queue<S>,
     meter: Meter,
+    possible_crashes: Mutex<PossibleCrashes>,
     /// Running tasks, each of which executes a request, relays an answer or finishes a claim.
     tasks: AtomicUsize,
     /// Random prefix that makes the request ids of this process unique in the fleet.
@@ -186,6 +189,7 @@
             pool: Pool::spawn(),
             queue: Queue::default(),
             meter: Meter::new(registry)?,
+            possible_crashes: Mutex::default(),
             tasks: AtomicUsize::new(0),
             id_prefix: rand::random(),
             id_counter: AtomicU64::new(0),
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// The chosen upstream.
+    pub(crate) fn chosen(&self) -> Option<&ChosenUpstream> {
+        self.chosen.as_ref()
+    }
+
     /// Name of the upstream.
     pub(crate) fn upstream(&self) -> Option<UpstreamId> {
         self.chosen.as_ref().map(|chosen| chosen.upstream.clone())
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use parking_lot::Mutex;
 use rand::Rng;
 use sha2::Digest;
 use sha2::Sha256;
@@ -26,6 +27,7 @@
 use crate::view::Route;
 use crate::view::WeightedService;
 
+use super::crash::CrashExplained;
 use super::forward;
 
 /// Longest `idempotency-key`, in bytes.
@@ -57,6 +59,8 @@
     fresh_only: AtomicBool,
     /// Whether an attempt has become overdue since the last call of [`Self::take_overdue`].
     overdue: AtomicBool,
+    /// Attempts that may have crashed their upstreams.
+    possible_crashes: Mutex<Vec<CrashExplained>>,
     /// Attempts that were sent, without those that the upstream is known not to have run.
     sent: AtomicUsize,
 }
@@ -90,6 +94,7 @@
             caller_left: AtomicBool::new(false),
             fresh_only: AtomicBool::new(false),
             overdue: AtomicBool::new(false),
+            possible_crashes: Mutex::default(),
             sent: AtomicUsize::new(0),
         }
     }
@@ -143,6 +148,21 @@
         self.overdue.swap(false, Ordering::Relaxed)
     }
 
+    /// Adds an attempt that may have crashed its upstream.
+    pub(super) fn add_possible_crash(&self, explained: CrashExplained) {
+        self.possible_crashes.lock().push(explained);
+    }
+
+    /// Number of attempts that may have crashed their upstreams and were not waited for.
+    pub(super) fn possible_crashes(&self) -> usize {
+        self.possible_crashes.lock().len()
+    }
+
+    /// Removes and returns the attempts that may have crashed their upstreams.
+    pub(super) fn take_possible_crashes(&self) -> Vec<CrashExplained> {
+        std::mem::take(&mut *self.possible_crashes.lock())
+    }
+
     /// Records that the caller has left.
     pub(crate) fn set_caller_left(&self) {
         self.caller_left.store(true, Ordering::SeqCst);
--- a/src/proxy/run.rs
+++ b/src/proxy/run.rs
@@ -48,6 +48,8 @@
 const MAX_ATTEMPTS: usize = 4;
 /// How many upstreams of one request may be unreachable; they do not count as attempts.
 const MAX_UNSENT: usize = 6;
+/// How many attempts of one request may have crashed their upstreams while another attempt is made.
+const MAX_UNEXPLAINED: usize = 2;
 /// How long an answer is held back at most while it is recorded with its claim. Without the wait, a caller
 /// that repeats the request at once would get `InProgress`; unreachable holders of the claim must not delay
 /// the answer further.
@@ -160,6 +162,7 @@
         } else {
             ClaimOutcome::NotRun
         };
+        self.wait_explained(&request).await;
         self.finish_claim(ticket, outcome).await;
         Completion::refused(&correct_execution(&request, progress.error, may_have_run))
     }
@@ -217,6 +220,10 @@
         {
             return None;
         }
+        // A request that may have crashed two upstreams is not sent to a third one before that is explained.
+        if request.possible_crashes() >= MAX_UNEXPLAINED {
+            self.wait_explained(request).await;
+        }
         let charged = match self.stages.chooser.exempts_unsent() {
             true => sent,
             false => progress.tried.len(),
@@ -280,9 +287,9 @@
         false
     }
 
-    /// Makes one attempt; if the connection died, reports a possible crash of the upstream.
+    /// Makes one attempt; if the connection died, begins to check whether the upstream crashed.
     async fn attempt(
-        &self,
+        self: &Arc<Self>,
         request: &AdmittedRequest,
         mut flight: InFlight<S>,
         ticket: Option<&Ticket<S>>,
@@ -292,7 +299,7 @@
             if *result == AttemptResult::Stale {
                 request.set_fresh_only();
             }
-            self.report_crash(request, &flight, *result).await;
+            self.check_crash(request, &flight, *result);
         }
         (flight, outcome)
     }
--- a/src/proxy/stream.rs
+++ b/src/proxy/stream.rs
@@ -154,9 +154,7 @@
         Err(interruption) => {
             let upstream = open.flight.upstream().unwrap_or_default();
             answer::log_incomplete(&open.request.id, &upstream, &interruption.reason);
-            shared
-                .report_crash(&open.request, &open.flight, interruption.result)
-                .await;
+            shared.check_crash(&open.request, &open.flight, interruption.result);
             interruption.result
         }
     };
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::id::CrashId;
+use crate::stage::Block;
 
 /// Time for which a crash counts.
 pub const CRASH_WINDOW: Duration = Duration::from_secs(10 * 60);
@@ -158,9 +159,18 @@
 
     /// Whether requests with the fingerprint are refused.
     pub fn is_blocked(&self, now: Instant, fingerprint: &str) -> bool {
-        self.entries
-            .get(fingerprint)
-            .is_some_and(|e| e.blocks > 0 && now < e.last_crash + self.block_time(e.blocks))
+        self.block(now, fingerprint).is_some()
+    }
+
+    /// The block of a fingerprint; `None` if its requests are sent.
+    pub fn block(&self, now: Instant, fingerprint: &str) -> Option<Block> {
+        let entry = self.entries.get(fingerprint).filter(|e| e.blocks > 0)?;
+        let end = entry.last_crash + self.block_time(entry.blocks);
+        let crashes = entry.crashes.len();
+        (now < end).then(|| Block {
+            crashes,
+            left: end - now,
+        })
     }
 
     /// Takes back the oldest crash of a fingerprint whose request was answered, and returns it; `None` if the
--- a/src/stage.rs
+++ b/src/stage.rs
@@ -150,6 +150,17 @@
     pub reason: &'static str,
 }
 
+/// What is known of one run of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunState {
+    /// Nothing that tells whether it goes on.
+    Unknown,
+    /// It announced that it leaves.
+    Left,
+    /// A later run is listed under its name.
+    Replaced,
+}
+
 /// Result of one attempt at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 pub enum AttemptResult {
@@ -204,6 +215,11 @@
         true
     }
 
+    /// What is known of the run that was chosen.
+    fn run_state(&self, _chosen: &ChosenUpstream) -> RunState {
+        RunState::Unknown
+    }
+
     /// Releases an upstream and records the result of the attempt.
     fn finish(&self, chosen: ChosenUpstream, sample: Sample);
 
@@ -261,15 +277,29 @@
     fn reuse_timeout(&self, route: &RouteId) -> Duration;
 }
 
+/// Refusal of the requests with one fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Block {
+    /// Upstreams that they crashed, as far as they are counted.
+    pub crashes: usize,
+    /// Time until the end of the block.
+    pub left: Duration,
+}
+
 /// Blocks requests that crash their upstreams.
 pub trait Quarantine: Send + Sync + 'static {
+    /// The block of a fingerprint; `None` if its requests are sent.
+    fn block(&self, fingerprint: &str, now: Instant) -> Option<Block>;
+
     /// Whether the fingerprint is blocked.
-    fn is_blocked(&self, fingerprint: &str, now: Instant) -> bool;
+    fn is_blocked(&self, fingerprint: &str, now: Instant) -> bool {
+        self.block(fingerprint, now).is_some()
+    }
 
     /// Records that an upstream answered a request with the fingerprint, and not with a server error; this
     /// counts against one report.
     fn record_answer(&self, _fingerprint: &str) {}
 
-    /// Reports to all VMs that a connection ended between a request and its answer.
+    /// Reports to all VMs that a request crashed its upstream.
     fn report(&self, fingerprint: &str) -> impl Future<Output = ()> + Send;
 }
