Decide on a request by its host and path as they were sent

What callers saw: POST /a/../.zinnia/x and /a/%2e%2e/.zinnia/addresses, which begin with the unsafe route /a/, were answered with the addresses of the entry VMs, without a key, and reached no upstream; /.zinnia/x, for which no route exists, got 200. POST /p/../a/1 on the public route /p/ got 401.

Own paths and the guard of keys were decided by the path that the URL parser had resolved, beside the route that is decided by the path as sent.

Now src/target.rs keeps host and target as sent, proxy/decision.rs decides own paths, route, service, kind and key from them in one function, and url().path() is left out of the request path. The platform has no own paths; the product keeps its prefix, compared as sent.

The test system_paths_are_not_proxied expected a path that only resolves to an own one to be answered; it now expects the own path to be answered and the other one to get 404.

--- a/src/conventions.rs
+++ b/src/conventions.rs
@@ -32,6 +32,8 @@
     /// Whether upstreams always repeat the id; an answer without it is then invalid, because another server
     /// sent it.
     pub echoes_id: bool,
+    /// Header with the id under which a request that may run once is claimed; `None` if the deployment has no claims.
+    pub claim_header: Option<SmolStr>,
     /// Header with the caller's key.
     pub key_header: SmolStr,
     /// Whether `authorization` may hold the key as a bearer token.
@@ -55,6 +57,7 @@
             leaving_header: None,
             answer_header: None,
             echoes_id: false,
+            claim_header: Some("idempotency-key".into()),
             key_header: "x-api-key".into(),
             bearer: true,
             opaque_keys: false,
--- a/src/entry/handlers.rs
+++ b/src/entry/handlers.rs
@@ -20,6 +20,7 @@
 use crate::error::Result;
 use crate::feed::ConfigFeed;
 use crate::gossip::Membership;
+use crate::head;
 use crate::http::Caller;
 use crate::http::Handler;
 use crate::member::Announcement;
@@ -50,10 +51,11 @@
 
 impl Directory for AddressDirectory {
     async fn respond(&self, request: Request) -> Response {
-        if request.url().path() != directory::PATH || request.method() != Method::Get {
-            return answer::refusal(&Code::NoRoute.into());
-        }
-        let domain = directory::query_domain(request.url().query());
+        let target = match head::sent_target(&request) {
+            Ok(target) if target.path() == directory::PATH && request.method() == Method::Get => target,
+            _ => return answer::refusal(&Code::NoRoute.into()),
+        };
+        let domain = directory::query_domain(target.query());
         let live = self.members.live();
         let mut rng = self.rng.lock().unwrap();
         let addresses = directory::select(&live, domain.as_deref(), self.ttl, &mut *rng);
--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -12,9 +12,10 @@
 use log::info;
 use tide::http::Request;
 use tide::http::Response;
-use tide::http::mime;
 
+use crate::answer;
 use crate::catalog::Catalog;
+use crate::code::Code;
 use crate::component::Components;
 use crate::conventions::HttpConventions;
 use crate::error::Error;
@@ -33,6 +34,7 @@
 use crate::id::Incarnation;
 use crate::id::VmName;
 use crate::proxy::Directory;
+use crate::proxy::PathRules;
 use crate::proxy::Proxy;
 use crate::proxy::ProxySettings;
 use crate::proxy::StageSet;
@@ -90,20 +92,15 @@
     type Claims = NoClaims;
     type Chooser = ControlClient;
     type Quarantine = ControlClient;
-    type Directory = AddressList;
+    type Directory = NoOwnPaths;
 }
 
-/// Directory that answers with the addresses of the entry VMs that are ready.
-pub struct AddressList(ControlClient);
+/// Directory of a deployment in which the caller port has no paths of its own.
+pub struct NoOwnPaths;
 
-impl Directory for AddressList {
+impl Directory for NoOwnPaths {
     async fn respond(&self, _request: Request) -> Response {
-        let ready = self.0.entries().into_iter().filter(|e| e.is_ready);
-        let addresses: Vec<SocketAddr> = ready.map(|e| e.caller).collect();
-        let mut response = Response::new(200);
-        response.set_body(serde_json::json!({ "addresses": addresses }).to_string());
-        response.set_content_type(mime::JSON);
-        response
+        answer::refusal(&Code::NoRoute.into())
     }
 }
 
@@ -145,9 +142,10 @@
             claims: Arc::new(NoClaims),
             chooser: stage(),
             quarantine: stage(),
-            directory: Arc::new(AddressList(client.clone())),
+            directory: Arc::new(NoOwnPaths),
         };
         let proxy_settings = ProxySettings {
+            paths: PathRules::default(),
             body_limit: DEFAULT_BODY_BYTES,
             read_timeout: READ_TIMEOUT,
             request_timeout: DEFAULT_REQUEST_TIMEOUT,
--- a/src/head.rs
+++ b/src/head.rs
@@ -17,6 +17,7 @@
 use crate::error::Result;
 use crate::frame::BufferedStream;
 use crate::frame::Framing;
+use crate::target::Target;
 
 /// Largest request head, in bytes.
 pub const MAX_REQUEST_HEAD_BYTES: usize = 16 << 10;
@@ -25,6 +26,8 @@
 pub const MAX_TARGET_BYTES: usize = 8 << 10;
 /// Largest number of headers in a request.
 pub const MAX_REQUEST_HEADERS: usize = 100;
+/// Scheme and host of the URL of each request; see [`sent_target`].
+const URL_BASE: &str = "http://localhost";
 /// The end of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -41,20 +44,11 @@
     pub(crate) expects_continue: bool,
 }
 
-/// The request target as the caller sent it; a parsed [`Url`] has a normalised path.
-pub(crate) struct RawTarget(String);
-
-/// Path and query of a request as the caller sent them.
-pub(crate) fn raw_target(request: &Request) -> String {
-    let target = request.ext().get::<RawTarget>().map(|t| t.0.as_str());
-    match target.filter(|t| t.starts_with('/')) {
-        Some(target) => target.to_owned(),
-        None => {
-            let url = request.url();
-            let query = url.query().map(|q| format!("?{q}")).unwrap_or_default();
-            url.path().to_owned() + &query
-        }
-    }
+/// Host and target of a request that [`parse`] made, as the caller sent them. The URL of the request has a normalised
+/// path and decides nothing.
+pub(crate) fn sent_target(request: &Request) -> Result<&Target> {
+    let target = request.ext().get::<Target>();
+    target.ok_or_else(|| bad_request("the request has no target"))
 }
 
 /// Reads one head within the timeout.
@@ -156,13 +150,12 @@
     if parsed.version != Some(1) {
         return Err(Code::BadVersion.into());
     }
-    let mut request = Request::new(
-        method(parsed.method.unwrap_or_default())?,
-        target(parsed.path.unwrap_or_default(), parsed.headers)?,
-    );
-    request
-        .ext_mut()
-        .insert(RawTarget(parsed.path.unwrap_or_default().to_owned()));
+    let method = method(parsed.method.unwrap_or_default())?;
+    let target = target(parsed.path.unwrap_or_default(), parsed.headers)?;
+    let url = Url::parse(&format!("{URL_BASE}{}", target.path_and_query()));
+    let url = url.map_err(|e| bad_request(&format!("the request target: {e}")))?;
+    let mut request = Request::new(method, url);
+    request.ext_mut().insert(target);
     request.set_version(Some(Version::Http1_1));
     for header in parsed.headers.iter() {
         request.append_header(header.name, header_value(header)?);
@@ -195,7 +188,7 @@
     method.ok_or_else(|| Error::new(Code::Unsupported, "the method is not supported"))
 }
 
-fn target(path: &str, headers: &[httparse::Header<'_>]) -> Result<Url> {
+fn target(path: &str, headers: &[httparse::Header<'_>]) -> Result<Target> {
     let mut hosts = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("host"));
     let host = hosts.next().ok_or_else(|| bad_request("no host header"))?;
     if hosts.next().is_some() {
@@ -204,20 +197,7 @@
     if path.len() > MAX_TARGET_BYTES {
         return Err(Code::TargetTooLong.into());
     }
-    let host = header_value(host)?;
-    if host.is_empty() || host.contains(['/', '?', '#', '@', '\\', ' ', ',']) {
-        return Err(bad_request("a bad host header"));
-    }
-    let url = match path.as_bytes().first() {
-        Some(b'/') => Url::parse(&format!("http://{host}{path}")),
-        _ if path.starts_with("http://") => Url::parse(path),
-        _ => {
-            return Err(bad_request(
-                "a request target that is neither a path nor an http URL",
-            ));
-        }
-    };
-    url.map_err(|e| bad_request(&format!("the host or the request target: {e}")))
+    Target::parse(path, header_value(host)?)
 }
 
 /// The value as text; it must be ASCII, because `http_types::HeaderValue` accepts nothing else.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod settings;
 pub mod stage;
 pub mod stop;
+pub mod target;
 pub mod timeline;
 pub mod timer;
 pub mod upstreams;
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -44,6 +44,7 @@
 use crate::stage::Config;
 use crate::stage::Limits;
 use crate::stage::Quarantine;
+use crate::target::Target;
 use crate::view::Customer;
 use crate::view::Route;
 use crate::view::View;
@@ -51,6 +52,7 @@
 mod attempt;
 mod connect;
 mod crash;
+mod decision;
 mod forward;
 mod key;
 mod meter;
@@ -63,13 +65,15 @@
 mod trace;
 
 use self::crash::PossibleCrashes;
+use self::decision::Decision;
+use self::decision::Destination;
 use self::meter::Meter;
 use self::queue::Queue;
 use self::request::AdmittedRequest;
 use self::run::Completion;
 use self::trace::Trace;
 
-/// Paths under this prefix are answered by the proxy itself and are not forwarded.
+/// Prefix of the paths that `zinnia-entry` answers itself.
 pub const SYSTEM_PREFIX: &str = "/.zinnia/";
 /// Longest time limit of a request; a longer one that a caller states is reduced to it.
 const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(3_600);
@@ -88,11 +92,11 @@
     type Chooser: Chooser;
     /// Blocking of requests that crash upstreams.
     type Quarantine: Quarantine;
-    /// Answers for paths under [`SYSTEM_PREFIX`].
+    /// Answers for the proxy's own paths; see [`PathRules::own_prefix`].
     type Directory: Directory;
 }
 
-/// Answers requests for paths under [`SYSTEM_PREFIX`].
+/// Answers requests for the proxy's own paths.
 pub trait Directory: Send + Sync + 'static {
     /// Answers one request; its key has not been checked.
     fn respond(&self, request: Request) -> impl Future<Output = Response> + Send;
@@ -110,13 +114,25 @@
     pub chooser: Arc<S::Chooser>,
     /// Blocking of requests that crash upstreams.
     pub quarantine: Arc<S::Quarantine>,
-    /// Answers for paths under [`SYSTEM_PREFIX`].
+    /// Answers for the proxy's own paths; see [`PathRules::own_prefix`].
     pub directory: Arc<S::Directory>,
 }
 
+/// What the proxy makes of paths besides comparing them with its routes, always as they were sent.
+#[derive(Debug, Clone, Default)]
+pub struct PathRules {
+    /// Paths with this prefix are answered by the proxy itself; `None` if all paths are routed.
+    pub own_prefix: Option<SmolStr>,
+    /// Whether a request on an open route needs a key if its path without dot segments lies on a route that needs
+    /// one: an upstream that resolves them would otherwise run it there without a key.
+    pub guards_resolved: bool,
+}
+
 /// Settings of a proxy.
 #[derive(Debug, Clone)]
 pub struct ProxySettings {
+    /// Own paths and dot segments.
+    pub paths: PathRules,
     /// Largest request body, in bytes.
     pub body_limit: usize,
     /// Time within which the request body must be received.
@@ -133,6 +149,10 @@
 impl From<&EntrySettings> for ProxySettings {
     fn from(settings: &EntrySettings) -> Self {
         Self {
+            paths: PathRules {
+                own_prefix: Some(SYSTEM_PREFIX.into()),
+                guards_resolved: settings.guard_resolved,
+            },
             body_limit: settings.body_limit,
             read_timeout: settings.read_limit,
             request_timeout: settings.request_limit,
@@ -224,11 +244,13 @@
 
 impl<S: Stages> Handler for Proxy<S> {
     async fn respond(&self, request: Request, caller: Caller) -> Response {
-        if request.url().path().starts_with(SYSTEM_PREFIX) {
+        let settings = &self.shared.settings;
+        let target = head::sent_target(&request);
+        if target.is_ok_and(|target| decision::is_own(&settings.paths, target)) {
             return self.shared.stages.directory.respond(request).await;
         }
         let start = Instant::now();
-        let mut trace = Trace::new(&request, || self.shared.next_id());
+        let mut trace = Trace::new(&request, &settings.conventions, || self.shared.next_id());
         caller.set_id(trace.id.clone());
         let mut completion = match self.shared.admit(request, start, &mut trace).await {
             Ok(Admission::Run(request, ticket)) => self.shared.clone().execute(request, ticket, caller).await,
@@ -252,7 +274,7 @@
 
 /// Route and customer of a request.
 struct Identity {
-    route: Route,
+    decision: Decision,
     /// The key as the caller sent it; used to remove it from the forwarded request.
     key: Option<String>,
     customer: Option<Customer>,
@@ -274,7 +296,8 @@
         self.stages.config.wait_initial().await;
         let view = self.stages.config.view();
         trace.version = view.version;
-        let identity = self.identify(&view, &request, trace);
+        let target = head::sent_target(&request)?.clone();
+        let identity = self.identify(&view, &request, &target, trace);
         // An outdated configuration may lack an existing route or key, so the request is refused with a code
         // that allows the caller to retry.
         let may_be_outdated = matches!(&identity, Err(e) if matches!(e.code, Code::NoRoute | Code::WrongKey));
@@ -282,26 +305,28 @@
             return Err(Code::ConfigStale.into());
         }
         let Identity {
-            route,
+            decision,
             key,
             customer,
             digest,
         } = identity?;
-        key::check_place(&request, key.as_deref())?;
+        let conventions = &self.settings.conventions;
+        key::check_place(&request, &target, key.as_deref(), conventions)?;
         if customer.is_some() && !self.may_serve() {
             return Err(Code::ConfigStale.into());
         }
-        let deadline = start + self.time_limit(&request, &route)?;
+        let deadline = start + self.time_limit(&request, &decision.route)?;
         let body = self.read_body(&mut request, deadline).await?;
         key::check_body(&body, key.as_deref())?;
         fail::fail_point!("proxy-body");
         let mut admitted = AdmittedRequest::new(
             &request,
+            &target,
             body,
-            route,
+            decision,
             deadline,
             key.as_deref(),
-            &self.settings.conventions,
+            conventions,
         );
         admitted.id = trace.id.clone();
         trace.once = Some(!admitted.idempotent);
@@ -309,7 +334,7 @@
         admitted.key_digest = digest;
         admitted.fingerprint = admitted.compute_fingerprint();
         self.check_quarantine(&admitted)?;
-        let id = request::claim_id(&request, &admitted)?;
+        let id = request::claim_id(&request, &admitted, conventions)?;
         if let Some(customer) = &customer {
             self.stages.limits.take_token(customer, deadline).await?;
         }
@@ -318,26 +343,25 @@
         self.claim(admitted, customer.as_ref(), id).await
     }
 
-    fn identify(&self, view: &View, request: &Request, trace: &mut Trace) -> Result<Identity> {
-        let url = request.url();
-        let host = url.host_str().unwrap_or_default();
-        let target = head::raw_target(request);
-        let path = target.split('?').next().unwrap_or_default();
-        // Upstreams get the path as it was sent, so it is routed as it was sent.
-        let mut route = view.find_route(host, path).ok_or(Code::NoRoute)?.clone();
-        // An upstream that resolves dot segments would otherwise run a request without a key that needs one.
-        let resolved = view.find_route(host, url.path());
-        route.open &= path == url.path() || resolved.is_none_or(|r| r.open);
-        if let Some(service) = request::draw_service(&route.split) {
-            route.service = service;
-        }
+    fn identify(
+        &self,
+        view: &View,
+        request: &Request,
+        target: &Target,
+        trace: &mut Trace,
+    ) -> Result<Identity> {
+        let destination = decision::decide(view, &self.settings.paths, request.method(), target);
+        let Destination::Route(decision) = destination else {
+            return Err(Code::NoRoute.into());
+        };
+        let route = &decision.route;
         trace.service = Some(route.service.clone());
         trace.route = Some(route.id.clone());
         let conventions = &self.settings.conventions;
         let key = key::find(request, conventions)?;
-        if route.open {
+        if !decision.needs_key {
             return Ok(Identity {
-                route,
+                decision,
                 key,
                 customer: None,
                 digest: None,
@@ -347,7 +371,7 @@
         let customer = key::customer(view, &digest)?.clone();
         trace.customer = Some(customer.id.clone());
         Ok(Identity {
-            route,
+            decision,
             key,
             customer: Some(customer),
             digest: Some(digest),
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -7,31 +7,29 @@
 
 use crate::answer::is_hop_by_hop;
 use crate::conventions::HttpConventions;
-use crate::head;
 use crate::stage::ChosenUpstream;
+use crate::target::Target;
 
 use super::key::holds_key;
 use super::request::AdmittedRequest;
 
-/// Headers that are never forwarded, besides those of the HTTP conventions: they may hold a key, or this
-/// proxy sets or handles them itself.
-const DROPPED: [&str; 4] = ["proxy-authorization", "content-length", "expect", "zinnia-run"];
+/// Headers that are never forwarded, besides those of the HTTP conventions: they concern one connection, or this proxy
+/// sets or handles them itself.
+const DROPPED: [&str; 3] = ["proxy-authorization", "content-length", "expect"];
 
 /// Path and query, without the parameters that hold a key.
-pub(crate) fn target(request: &Request, key: Option<&str>) -> String {
-    let raw = head::raw_target(request);
-    let (path, query) = raw.split_once('?').unwrap_or((&raw, ""));
-    if query.is_empty() {
-        return raw;
-    }
-    let kept: Vec<&str> = query.split('&').filter(|p| !holds_key(p, key)).collect();
-    let mut target = path.to_owned();
-    let kept = kept.join("&");
+pub(crate) fn target(target: &Target, key: Option<&str>, conventions: &HttpConventions) -> String {
+    let holds_key = |text: &str| holds_key(text, key, conventions);
+    let Some(query) = target.query().filter(|query| holds_key(query)) else {
+        return target.path_and_query().to_owned();
+    };
+    let kept: Vec<&str> = query.split('&').filter(|p| !holds_key(p)).collect();
+    let mut text = target.path().to_owned();
     if !kept.is_empty() {
-        target.push('?');
-        target.push_str(&kept);
+        text.push('?');
+        text.push_str(&kept.join("&"));
     }
-    target
+    text
 }
 
 /// Headers of the request that are forwarded to the upstream.
@@ -47,21 +45,25 @@
         .flat_map(|v| v.as_str().split(','))
         .map(|t| t.trim().to_ascii_lowercase())
         .collect();
+    // Header names are in lower case here, keys may not be.
+    let lower_key = key.map(str::to_ascii_lowercase);
     let mut kept = Vec::new();
     for (name, values) in request.iter() {
         let text = name.as_str();
         let is_dropped = DROPPED.contains(&text)
             || conventions.is_reserved(text)
             || is_hop_by_hop(text, &connection_tokens);
-        // Header names are in lower case here, keys may not be.
-        if is_dropped || holds_key(text, key.map(str::to_ascii_lowercase).as_deref()) {
+        if is_dropped || holds_key(text, lower_key.as_deref(), conventions) {
             continue;
         }
         for value in values.iter() {
             match text {
-                "cookie" => kept.extend(cookies_without_key(value, key).map(|v| (name.clone(), v))),
-                _ if holds_key(value.as_str(), key) => {}
-                _ => kept.push((name.clone(), value.clone())),
+                _ if !holds_key(value.as_str(), key, conventions) => kept.push((name.clone(), value.clone())),
+                "cookie" => {
+                    let rest = cookies_without_key(value, key, conventions);
+                    kept.extend(rest.map(|v| (name.clone(), v)));
+                }
+                _ => {}
             }
         }
     }
@@ -69,9 +71,13 @@
 }
 
 /// The cookies of a header without those that hold a key; `None` if none is left.
-fn cookies_without_key(value: &HeaderValue, key: Option<&str>) -> Option<HeaderValue> {
+fn cookies_without_key(
+    value: &HeaderValue,
+    key: Option<&str>,
+    conventions: &HttpConventions,
+) -> Option<HeaderValue> {
     let pairs = value.as_str().split(';').map(str::trim);
-    let kept: Vec<&str> = pairs.filter(|p| !holds_key(p, key)).collect();
+    let kept: Vec<&str> = pairs.filter(|p| !holds_key(p, key, conventions)).collect();
     let kept = kept.join("; ");
     if kept.is_empty() {
         return None;
--- a/src/proxy/key.rs
+++ b/src/proxy/key.rs
@@ -11,6 +11,7 @@
 use crate::error::Result;
 use crate::secret;
 use crate::secret::KEY_PREFIX;
+use crate::target::Target;
 use crate::view::Customer;
 use crate::view::View;
 
@@ -72,17 +73,26 @@
     customer.ok_or_else(|| Error::new(Code::WrongKey, "the customer of the key does not exist"))
 }
 
-/// Refuses a key in the path or in `idempotency-key`, from which it cannot be removed before forwarding.
+/// Refuses a key in the path or in the claim header, from which it cannot be removed before forwarding.
 ///
 /// # Errors
 /// `KeyMisplaced`.
-pub(crate) fn check_place(request: &Request, key: Option<&str>) -> Result<()> {
-    if holds_key(request.url().path(), key) {
+pub(crate) fn check_place(
+    request: &Request,
+    target: &Target,
+    key: Option<&str>,
+    conventions: &HttpConventions,
+) -> Result<()> {
+    if holds_key(target.path(), key, conventions) {
         return Err(Error::new(Code::KeyMisplaced, "the path holds a key"));
     }
-    let ids = request.header("idempotency-key").into_iter();
-    if ids.flat_map(|v| v.iter()).any(|v| holds_key(v.as_str(), key)) {
-        return Err(Error::new(Code::KeyMisplaced, "idempotency-key holds a key"));
+    let Some(claim_header) = conventions.claim_header.as_deref() else {
+        return Ok(());
+    };
+    let mut ids = request.header(claim_header).into_iter().flat_map(|v| v.iter());
+    if ids.any(|v| holds_key(v.as_str(), key, conventions)) {
+        let detail = format!("{claim_header} holds a key");
+        return Err(Error::new(Code::KeyMisplaced, detail));
     }
     Ok(())
 }
@@ -125,11 +135,16 @@
     false
 }
 
-/// Whether text holds the key of the request or anything that has the form of a key, also percent-encoded.
-pub(crate) fn holds_key(text: &str, key: Option<&str>) -> bool {
+/// Whether text holds the key of the request, also percent-encoded, or anything that has the form in which this project
+/// issues keys, where a deployment uses that form.
+pub(crate) fn holds_key(text: &str, key: Option<&str>, conventions: &HttpConventions) -> bool {
+    let is_found = |text: &[u8]| {
+        key.is_some_and(|key| contains(text, key.as_bytes()))
+            || (!conventions.opaque_keys && has_key_form(text))
+    };
     let mut text = Cow::Borrowed(text.as_bytes());
     for _ in 0..MAX_DECODINGS {
-        if key.is_some_and(|key| contains(&text, key.as_bytes())) || has_key_form(&text) {
+        if is_found(&text) {
             return true;
         }
         if !text.contains(&b'%') {
@@ -137,7 +152,7 @@
         }
         text = Cow::Owned(percent_decode(&text));
     }
-    key.is_some_and(|key| contains(&text, key.as_bytes())) || has_key_form(&text)
+    is_found(&text)
 }
 
 fn has_key_form(text: &[u8]) -> bool {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -24,14 +24,16 @@
 use crate::id::RequestId;
 use crate::id::ServiceId;
 use crate::quarantine;
+use crate::target::Target;
 use crate::view::Route;
 use crate::view::WeightedService;
 
 use super::crash::CrashExplained;
+use super::decision::Decision;
 use super::forward;
 
-/// Longest `idempotency-key`, in bytes.
-const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
+/// Longest value of the claim header, in bytes.
+const MAX_CLAIM_ID_BYTES: usize = 256;
 
 pub(crate) struct AdmittedRequest {
     /// Id of the request in log lines and events.
@@ -66,14 +68,18 @@
 }
 
 impl AdmittedRequest {
-    pub(crate) fn new(
+    pub(super) fn new(
         request: &Request,
+        target: &Target,
         body: Vec<u8>,
-        route: Route,
+        decision: Decision,
         deadline: Instant,
         key: Option<&str>,
         conventions: &HttpConventions,
     ) -> Self {
+        let Decision {
+            route, is_idempotent, ..
+        } = decision;
         Self {
             id: RequestId::default(),
             forwarded_id: request
@@ -81,11 +87,11 @@
                 .map(|v| v.as_str().into())
                 .unwrap_or_default(),
             method: request.method(),
-            host: request.url().host_str().unwrap_or_default().into(),
-            target: forward::target(request, key),
+            host: target.host.clone(),
+            target: forward::target(target, key, conventions),
             headers: forward::headers(request, key, conventions),
             body,
-            idempotent: !route.once && (route.idempotent || is_idempotent(request.method())),
+            idempotent: is_idempotent,
             route,
             customer: None,
             key_digest: None,
@@ -189,24 +195,30 @@
     }
 }
 
-/// The id under which the request is claimed; `None` if it is idempotent or has no id.
+/// The id under which the request is claimed; `None` if it is idempotent or has no id, or the deployment has no claims.
 ///
 /// # Errors
 /// `IdRequired` if the route requires an id and there is none, `BadRequest` if it is not valid.
-pub(super) fn claim_id(request: &Request, admitted: &AdmittedRequest) -> Result<Option<RequestId>> {
+pub(super) fn claim_id(
+    request: &Request,
+    admitted: &AdmittedRequest,
+    conventions: &HttpConventions,
+) -> Result<Option<RequestId>> {
+    let Some(claim_header) = conventions.claim_header.as_deref() else {
+        return Ok(None);
+    };
     if admitted.idempotent {
         return Ok(None);
     }
-    let Some(values) = request.header("idempotency-key") else {
+    let Some(values) = request.header(claim_header) else {
         return match admitted.route.require_id {
             true => Err(Code::IdRequired.into()),
             false => Ok(None),
         };
     };
     let id = values.as_str();
-    if values.iter().count() > 1 || id.is_empty() || id.len() > MAX_IDEMPOTENCY_KEY_BYTES {
-        let detail =
-            format!("idempotency-key is repeated, empty or longer than {MAX_IDEMPOTENCY_KEY_BYTES} bytes");
+    if values.iter().count() > 1 || id.is_empty() || id.len() > MAX_CLAIM_ID_BYTES {
+        let detail = format!("{claim_header} is repeated, empty or longer than {MAX_CLAIM_ID_BYTES} bytes");
         return Err(Error::new(Code::BadRequest, detail));
     }
     Ok(Some(id.into()))
@@ -229,12 +241,6 @@
     None
 }
 
-/// Whether the method is idempotent (RFC 9110 section 9.2.2).
-fn is_idempotent(method: Method) -> bool {
-    use Method::*;
-    matches!(method, Get | Head | Options | Put | Delete | Trace)
-}
-
 fn sha256(parts: &[&[u8]]) -> SmolStr {
     let mut hash = Sha256::new();
     for part in parts {
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -7,6 +7,7 @@
 use tide::http::Request;
 
 use crate::code::Code;
+use crate::conventions::HttpConventions;
 use crate::event;
 use crate::event::About;
 use crate::event::Kind;
@@ -38,12 +39,14 @@
 
 impl Trace {
     /// Uses the id that the caller sent if it is usable, or else a generated one.
-    pub(crate) fn new(request: &Request, generate: impl FnOnce() -> SmolStr) -> Self {
-        let headers = ["idempotency-key", "x-request-id"];
-        let sent = headers
-            .iter()
-            .find_map(|name| request.header(*name))
-            .map(|v| v.as_str());
+    pub(crate) fn new(
+        request: &Request,
+        conventions: &HttpConventions,
+        generate: impl FnOnce() -> SmolStr,
+    ) -> Self {
+        let claim_header = conventions.claim_header.as_deref();
+        let mut headers = claim_header.into_iter().chain([conventions.id_header.as_str()]);
+        let sent = headers.find_map(|name| request.header(name)).map(|v| v.as_str());
         let id = sent.filter(|id| is_usable(id)).map(SmolStr::from);
         Self {
             id: id.unwrap_or_else(generate),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -101,6 +101,8 @@
     pub address_ttl: Duration,
     /// Deadline of a request that states none and whose route states none.
     pub request_limit: Duration,
+    /// Whether a request on an open route needs a key if its path without dot segments lies on a route that needs one.
+    pub guard_resolved: bool,
 }
 
 /// Reads fields of one JSON object and collects every problem.
@@ -237,13 +239,13 @@
         Duration::from_millis(self.number(field, default, range))
     }
 
-    fn flag(&mut self, field: &'static str) -> bool {
+    fn flag(&mut self, field: &'static str, default: bool) -> bool {
         let Some(value) = self.field(field) else {
-            return false;
+            return default;
         };
         value.as_bool().unwrap_or_else(|| {
             self.report(field, format!("{value} is not true or false"));
-            false
+            default
         })
     }
 
@@ -283,7 +285,7 @@
             domain: self.name("domain"),
             fleet_secret: self.path("fleet_secret"),
             control: self.peers("control"),
-            log_json: self.flag("log_json"),
+            log_json: self.flag("log_json", false),
             event_count: self.count("event_count", 10_000, 100..=1_000_000),
         }
     }
@@ -364,6 +366,7 @@
         connections: checker.count("connections", 1_000, 10..=100_000),
         address_ttl: checker.millis("address_ttl_ms", 30_000, 100..=600_000),
         request_limit: checker.millis("request_limit_ms", 10_000, 100..=600_000),
+        guard_resolved: checker.flag("guard_resolved", true),
     };
     if settings.caller == settings.peer && settings.caller.port() != 0 {
         checker.report(
--- a/tests/path/fakes.rs
+++ b/tests/path/fakes.rs
@@ -26,8 +26,10 @@
 use zinnialoom::id::ServiceId;
 use zinnialoom::notice::Notice;
 use zinnialoom::proxy::Directory;
+use zinnialoom::proxy::PathRules;
 use zinnialoom::proxy::Proxy;
 use zinnialoom::proxy::ProxySettings;
+use zinnialoom::proxy::SYSTEM_PREFIX;
 use zinnialoom::proxy::StageSet;
 use zinnialoom::proxy::Stages;
 use zinnialoom::secret;
@@ -80,6 +82,8 @@
     /// Maximum number of connections to each upstream.
     pub connections: AtomicUsize,
     pub in_flight: AtomicUsize,
+    /// Service and idempotence of the requests for which an upstream was chosen.
+    pub chosen: Mutex<Vec<(String, bool)>>,
     /// Results of all attempts, in the order in which they ended.
     pub results: Mutex<Vec<AttemptResult>>,
     /// What is left of the retry budget.
@@ -165,6 +169,8 @@
         let is_untried = |a: &&SocketAddr| !criteria.tried.contains(&a.to_string().into());
         let address = *upstreams.iter().find(is_untried).ok_or(Code::NoUpstream)?;
         self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let choice = (criteria.service.to_string(), criteria.idempotent);
+        self.chosen.lock().unwrap().push(choice);
         Ok(ChosenUpstream {
             service: criteria.service.clone(),
             upstream: address.to_string().into(),
@@ -301,6 +307,19 @@
     }
 
     pub async fn start_with(upstreams: &[SocketAddr], limits: http::Limits) -> Self {
+        Self::start_all(upstreams, limits, |_| {}).await
+    }
+
+    /// Starts a proxy with changed settings.
+    pub async fn start_edited(upstreams: &[SocketAddr], edit: impl FnOnce(&mut ProxySettings)) -> Self {
+        Self::start_all(upstreams, limits(), edit).await
+    }
+
+    async fn start_all(
+        upstreams: &[SocketAddr],
+        limits: http::Limits,
+        edit: impl FnOnce(&mut ProxySettings),
+    ) -> Self {
         let fakes = Arc::new(Fakes {
             view: Mutex::new(view(false)),
             fresh: AtomicBool::new(true),
@@ -311,6 +330,7 @@
             cap: AtomicUsize::new(100),
             connections: AtomicUsize::new(4),
             in_flight: AtomicUsize::new(0),
+            chosen: Mutex::default(),
             results: Mutex::default(),
             retries: AtomicUsize::new(100),
             blocked: AtomicBool::new(false),
@@ -330,7 +350,11 @@
             quarantine: fakes.clone(),
             directory: fakes.clone(),
         };
-        let settings = ProxySettings {
+        let mut settings = ProxySettings {
+            paths: PathRules {
+                own_prefix: Some(SYSTEM_PREFIX.into()),
+                guards_resolved: true,
+            },
             body_limit: 1 << 20,
             read_timeout: Duration::from_millis(400),
             request_timeout: Duration::from_secs(3),
@@ -341,6 +365,7 @@
             },
             soft_quarantine: false,
         };
+        edit(&mut settings);
         let registry = Registry::new();
         let proxy = Proxy::spawn(stages, settings, &registry).unwrap();
         let server = http::bind(any_port(), limits, Arc::new(proxy.clone()))
--- a/tests/path/serve.rs
+++ b/tests/path/serve.rs
@@ -57,13 +57,20 @@
     assert!(!text.contains("soum") && !text.contains("forecast"), "{text}");
 }
 
-/// Guards against forwarding paths under `SYSTEM_PREFIX` to an upstream, and against requiring a key for
-/// them.
+/// Guards against forwarding paths under `SYSTEM_PREFIX` to an upstream, against requiring a key for them, and
+/// against taking another path for one of them.
 #[async_std::test]
 async fn system_paths_are_not_proxied() {
     let standin = standin().await;
     let entry = Entry::start(&[standin.address()]).await;
-    let bytes = "GET /a/../.zinnia/addresses HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
-    assert!(entry.send(bytes).await.ends_with("directory"));
+    let head = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    assert!(
+        entry
+            .send(head("/.zinnia/addresses"))
+            .await
+            .ends_with("directory")
+    );
+    let other = entry.send(head("/a/../.zinnia/addresses")).await;
+    assert_eq!(status(&other), 404, "{other}");
     assert!(standin.journal().is_empty());
 }
