--- a/tests/path/decision.rs
+++ b/tests/path/decision.rs
@@ -1,6 +1,7 @@
 //! What decides a request: its host and path as they were sent, and only the headers that the conventions name.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -259,3 +260,25 @@
     assert_eq!(outcome(&answer).1, Code::NoKey.number(), "{answer}");
     assert_eq!(script.requests(), 1);
 }
+
+/// Guards against an unsafe request that is refused, always, for a header that the deployment gives no meaning.
+#[async_std::test]
+async fn a_claim_header_decides_nothing_without_claims() {
+    let script = Script::start(&[&[Answer(OK)]]).await;
+    let entry = entry(&script).await;
+    for (path, line) in [
+        ("/a/1", "idempotency-key: abc"),
+        ("/a/1", "idempotency-key: "),
+        ("/p/1", "idempotency-key: "),
+        ("/a/1", "idempotency-key: 1\r\nidempotency-key: 2"),
+    ] {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\nx-api-key: {KEY}\r\n{line}\r\ncontent-length: 0\r\n\r\n"
+        );
+        let answer = entry.send(head).await;
+        assert_eq!(status(&answer), 200, "{path} {line}: {answer}");
+    }
+    assert!(entry.fakes.claims.lock().unwrap().is_empty());
+    assert_eq!(script.requests(), 4);
+    assert_eq!(entry.fakes.in_flight.load(Ordering::SeqCst), 0);
+}
