Bound the memory of all request bodies of a process

What callers saw: three bodies of 64 MiB at the same time took an entry process to 645 MB where 260 MB are allowed; a platform that ends such a process ends all requests on it, three times on two machines in the review.

Cause: a body was bounded, their sum was not, and each was copied for its attempt and decoded for the search for a key.

Now the bodies of a process have a budget in bytes that is reserved before they are read. One that doesn't fit waits up to 500 ms and is refused with 503 and Retry-After, "not run"; what comes of it is discarded for 1 s so that its caller sees the refusal. A body is held once: sent from where it is held, and searched without a decoded copy. One that is alone is served whatever the budget.

Tests: path bodies::*, body_budget::*.

--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -57,6 +57,10 @@
 const MAX_CONNECTIONS: usize = 2_000;
 /// Size limit of a request body when the configuration states none.
 const DEFAULT_BODY_BYTES: usize = 64 << 20;
+/// Memory for request bodies beside one of the largest size, in bytes.
+const SMALL_BODY_MEMORY: usize = 16 << 20;
+/// Part of the memory of a VM that the bodies of several requests may take together.
+const BODY_MEMORY_DIVISOR: usize = 2;
 /// Time limit for receiving a request head, and separately for receiving a body.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which a connection without a request is closed.
@@ -75,6 +79,8 @@
     pub retry_bound: RetryBound,
     /// How far customers may exceed their limits while no control VM grants tokens.
     pub excess: Excess,
+    /// Memory of the VM in bytes, if it is limited.
+    pub memory: Option<usize>,
     /// Headers and statuses that callers and upstreams use.
     pub conventions: HttpConventions,
     /// Time for which new requests are still accepted after a stop was requested.
@@ -95,6 +101,12 @@
     type Directory = NoOwnPaths;
 }
 
+/// Memory for the bodies of all requests of a VM with this much memory.
+fn body_memory(memory: Option<usize>) -> usize {
+    let usual = DEFAULT_BODY_BYTES + SMALL_BODY_MEMORY;
+    memory.map_or(usual, |memory| usual.min(memory / BODY_MEMORY_DIVISOR))
+}
+
 /// Directory of a deployment in which the caller port has no paths of its own.
 pub struct NoOwnPaths;
 
@@ -147,6 +159,7 @@
         let proxy_settings = ProxySettings {
             paths: PathRules::default(),
             body_limit: DEFAULT_BODY_BYTES,
+            body_memory: body_memory(settings.memory),
             read_timeout: READ_TIMEOUT,
             request_timeout: DEFAULT_REQUEST_TIMEOUT,
             conventions: settings.conventions,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod balance;
+pub mod body_budget;
 pub mod catalog;
 pub mod claim;
 pub mod claims;
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -13,8 +13,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use async_std::future;
-use async_std::io::ReadExt;
 use async_std::task;
 use futures::future::Either;
 use futures::future::select;
@@ -25,6 +23,7 @@
 use tide::http::Response;
 
 use crate::answer;
+use crate::body_budget::BodyBudget;
 use crate::code::Code;
 use crate::conventions::HttpConventions;
 use crate::error::Error;
@@ -50,6 +49,7 @@
 use crate::view::View;
 
 mod attempt;
+mod body;
 mod connect;
 mod crash;
 mod decision;
@@ -135,6 +135,8 @@
     pub paths: PathRules,
     /// Largest request body, in bytes.
     pub body_limit: usize,
+    /// Memory for the bodies of all requests, in bytes; a single body may be larger.
+    pub body_memory: usize,
     /// Time within which the request body must be received.
     pub read_timeout: Duration,
     /// Time limit of a request if neither the request nor its route states one.
@@ -154,6 +156,7 @@
                 guards_resolved: settings.guard_resolved,
             },
             body_limit: settings.body_limit,
+            body_memory: settings.body_memory,
             read_timeout: settings.read_limit,
             request_timeout: settings.request_limit,
             conventions: HttpConventions::default(),
@@ -187,6 +190,7 @@
     stages: StageSet<S>,
     settings: ProxySettings,
     pool: Pool,
+    bodies: Arc<BodyBudget>,
     queue: Queue<S>,
     meter: Meter,
     possible_crashes: Mutex<PossibleCrashes>,
@@ -204,6 +208,7 @@
     /// `Kernel` if the metrics are already registered.
     pub fn spawn(stages: StageSet<S>, settings: ProxySettings, registry: &Registry) -> Result<Self> {
         let shared = Shared {
+            bodies: BodyBudget::new(settings.body_memory),
             stages,
             settings,
             pool: Pool::spawn(),
@@ -317,7 +322,7 @@
         }
         let deadline = start + self.time_limit(&request, &decision.route)?;
         let body = self.read_body(&mut request, deadline).await?;
-        key::check_body(&body, key.as_deref())?;
+        key::check_body(body.bytes(), key.as_deref())?;
         fail::fail_point!("proxy-body");
         let mut admitted = AdmittedRequest::new(
             &request,
@@ -417,29 +422,6 @@
         })
     }
 
-    async fn read_body(&self, request: &mut Request, deadline: Instant) -> Result<Vec<u8>> {
-        let max_bytes = self.settings.body_limit;
-        let too_large = || {
-            let detail = format!("the body is larger than {max_bytes} bytes");
-            Error::new(Code::BodyTooLarge, detail)
-        };
-        if request.len().is_some_and(|length| length > max_bytes) {
-            return Err(too_large());
-        }
-        let body = request.take_body();
-        let mut bytes = Vec::new();
-        let mut limited = body.take(max_bytes as u64 + 1);
-        let left = deadline.saturating_duration_since(Instant::now());
-        let limit = left.min(self.settings.read_timeout);
-        match future::timeout(limit, limited.read_to_end(&mut bytes)).await {
-            Err(_) if left < self.settings.read_timeout => Err(Code::DeadlineBefore.into()),
-            Err(_) => Err(Code::SlowSender.into()),
-            Ok(Err(e)) => Err(head::body_error(&e)),
-            Ok(Ok(_)) if bytes.len() > max_bytes => Err(too_large()),
-            Ok(Ok(_)) => Ok(bytes),
-        }
-    }
-
     /// Whether requests with a key may be admitted by the current configuration.
     fn may_serve(&self) -> bool {
         self.stages.config.is_fresh(Instant::now()) || self.stages.config.admits_stale()
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -336,7 +336,9 @@
     let bytes = forward::encode(request, chosen, &id, conventions);
     timing.started = Instant::now();
     let reused = conn.reused;
-    let written = write_request(&conn.stream, &bytes, request).await;
+    let body = request.body.bytes();
+    let rest = if forward::joins_body(body) { &[] } else { body };
+    let written = write_request(&conn.stream, &[&bytes, rest], request).await;
     match written {
         Written::All => {}
         Written::Nothing if reused && shared.stages.chooser.reconnects() => return ConnectionOutcome::Stale,
@@ -487,18 +489,22 @@
     Nothing,
 }
 
-async fn write_request(mut stream: &TcpStream, bytes: &[u8], request: &AdmittedRequest) -> Written {
-    let mut written = 0;
-    while written < bytes.len() {
-        match future::timeout(request.time_left(), stream.write(&bytes[written..])).await {
-            Ok(Ok(count @ 1..)) => {
-                if written == 0 {
-                    request.record_sent();
+async fn write_request(mut stream: &TcpStream, parts: &[&[u8]], request: &AdmittedRequest) -> Written {
+    let mut is_begun = false;
+    for part in parts {
+        let mut rest = *part;
+        while !rest.is_empty() {
+            match future::timeout(request.time_left(), stream.write(rest)).await {
+                Ok(Ok(count @ 1..)) => {
+                    if !is_begun {
+                        request.record_sent();
+                    }
+                    is_begun = true;
+                    rest = &rest[count..];
                 }
-                written += count;
+                _ if is_begun => return Written::Partial,
+                _ => return Written::Nothing,
             }
-            _ if written == 0 => return Written::Nothing,
-            _ => return Written::Partial,
         }
     }
     Written::All
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -17,6 +17,9 @@
 /// sets or handles them itself.
 const DROPPED: [&str; 3] = ["proxy-authorization", "content-length", "expect"];
 
+/// Longest body that is copied behind its head, in bytes.
+const MAX_JOINED_BYTES: usize = 4 << 10;
+
 /// Path and query, without the parameters that hold a key.
 pub(crate) fn target(target: &Target, key: Option<&str>, conventions: &HttpConventions) -> String {
     let holds_key = |text: &str| holds_key(text, key, conventions);
@@ -85,14 +88,15 @@
     HeaderValue::from_bytes(kept.into_bytes()).ok()
 }
 
-/// Encodes head and body for one attempt.
+/// Encodes the head for one attempt, and a short body with it, so that both go in one packet.
 pub(crate) fn encode(
     request: &AdmittedRequest,
     chosen: &ChosenUpstream,
     id: &str,
     conventions: &HttpConventions,
 ) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(request.body.len() + 512);
+    let body = request.body.bytes();
+    let mut bytes = Vec::with_capacity(MAX_JOINED_BYTES);
     let mut push = |parts: &[&str]| parts.iter().for_each(|p| bytes.extend_from_slice(p.as_bytes()));
     push(&[request.method.as_ref(), " ", &request.target, " HTTP/1.1\r\n"]);
     let mut has_host = false;
@@ -120,11 +124,18 @@
     }
     // A request without a body needs no content-length, but some upstreams expect one with these methods.
     let states_length =
-        !request.body.is_empty() || matches!(request.method, Method::Post | Method::Put | Method::Patch);
+        !body.is_empty() || matches!(request.method, Method::Post | Method::Put | Method::Patch);
     if states_length {
-        push(&["content-length: ", &request.body.len().to_string(), "\r\n"]);
+        push(&["content-length: ", &body.len().to_string(), "\r\n"]);
     }
     push(&["\r\n"]);
-    bytes.extend_from_slice(&request.body);
+    if joins_body(body) {
+        bytes.extend_from_slice(body);
+    }
     bytes
 }
+
+/// Whether [`encode`] adds the body to the head; a longer one is sent from where it is held.
+pub(crate) fn joins_body(body: &[u8]) -> bool {
+    body.len() <= MAX_JOINED_BYTES
+}
--- a/src/proxy/key.rs
+++ b/src/proxy/key.rs
@@ -1,6 +1,7 @@
 //! Keys of callers: finds them in requests, checks them and keeps them from being forwarded to upstreams.
 
 use std::borrow::Cow;
+use std::collections::VecDeque;
 
 use smol_str::SmolStr;
 use tide::http::Request;
@@ -108,18 +109,73 @@
     Ok(())
 }
 
+/// Whether a body holds the key, also percent-encoded. The body is decoded byte by byte, as a decoded copy would take
+/// as much memory as itself.
 fn body_holds_key(body: &[u8], key: &str) -> bool {
-    let mut text = Cow::Borrowed(body);
-    for _ in 0..MAX_DECODINGS {
-        if contains(&text, key.as_bytes()) {
+    if contains(body, key.as_bytes()) {
+        return true;
+    }
+    if !body.contains(&b'%') {
+        return false;
+    }
+    let once = || PercentDecoded::new(body.iter().copied());
+    let twice = || PercentDecoded::new(once());
+    stream_contains(once(), key.as_bytes())
+        || stream_contains(twice(), key.as_bytes())
+        || stream_contains(PercentDecoded::new(twice()), key.as_bytes())
+}
+
+/// Whether a stream of bytes contains a part.
+fn stream_contains(bytes: impl Iterator<Item = u8>, part: &[u8]) -> bool {
+    let mut window = VecDeque::with_capacity(part.len() + 1);
+    for byte in bytes {
+        window.push_back(byte);
+        if window.len() > part.len() {
+            window.pop_front();
+        }
+        if Some(&byte) == part.last() && window.iter().eq(part) {
             return true;
         }
-        if !text.contains(&b'%') {
-            return false;
+    }
+    false
+}
+
+/// Decodes percent-encoded bytes; what is no valid encoding stays as it is.
+struct PercentDecoded<I> {
+    bytes: I,
+    /// Bytes that were read and not returned.
+    ahead: VecDeque<u8>,
+}
+
+impl<I: Iterator<Item = u8>> PercentDecoded<I> {
+    fn new(bytes: I) -> Self {
+        let ahead = VecDeque::with_capacity(3);
+        Self { bytes, ahead }
+    }
+}
+
+impl<I: Iterator<Item = u8>> Iterator for PercentDecoded<I> {
+    type Item = u8;
+
+    fn next(&mut self) -> Option<u8> {
+        let first = self.ahead.pop_front().or_else(|| self.bytes.next())?;
+        if first != b'%' {
+            return Some(first);
         }
-        text = Cow::Owned(percent_decode(&text));
+        while self.ahead.len() < 2
+            && let Some(byte) = self.bytes.next()
+        {
+            self.ahead.push_back(byte);
+        }
+        let decoded = match (self.ahead.front(), self.ahead.get(1)) {
+            (Some(high), Some(low)) => hex_byte(*high, *low),
+            _ => None,
+        };
+        if decoded.is_some() {
+            self.ahead.clear();
+        }
+        decoded.or(Some(first))
     }
-    contains(&text, key.as_bytes())
 }
 
 fn contains(text: &[u8], part: &[u8]) -> bool {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -28,6 +28,7 @@
 use crate::view::Route;
 use crate::view::WeightedService;
 
+use super::body::RequestBody;
 use super::crash::CrashExplained;
 use super::decision::Decision;
 use super::forward;
@@ -47,7 +48,7 @@
     pub(crate) target: String,
     /// Headers that are forwarded to the upstream, without keys.
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
-    pub(crate) body: Vec<u8>,
+    pub(super) body: RequestBody,
     pub(crate) route: Route,
     pub(crate) customer: Option<CustomerId>,
     /// Digest of the key that admitted the request; `None` on an open route.
@@ -71,7 +72,7 @@
     pub(super) fn new(
         request: &Request,
         target: &Target,
-        body: Vec<u8>,
+        body: RequestBody,
         decision: Decision,
         deadline: Instant,
         key: Option<&str>,
@@ -110,7 +111,7 @@
         sha256(&[
             self.method.as_ref().as_bytes(),
             self.target.as_bytes(),
-            &self.body,
+            self.body.bytes(),
         ])
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -93,6 +93,8 @@
     pub peer: SocketAddr,
     /// Largest request body, in bytes.
     pub body_limit: usize,
+    /// Memory for the bodies of all requests, in bytes.
+    pub body_memory: usize,
     /// Time within which a request head and body must arrive.
     pub read_limit: Duration,
     /// Maximum number of open caller connections.
@@ -362,6 +364,7 @@
         advertise: checker.address("advertise", Some(caller)),
         peer: checker.address("peer", None),
         body_limit: checker.count("body_limit_bytes", 1 << 20, 1_024..=64 << 20),
+        body_memory: checker.count("body_memory_bytes", 128 << 20, 1 << 20..=1 << 40),
         read_limit: checker.millis("read_limit_ms", 10_000, 100..=120_000),
         connections: checker.count("connections", 1_000, 10..=100_000),
         address_ttl: checker.millis("address_ttl_ms", 30_000, 100..=600_000),
--- a/tests/fleet/loopback.rs
+++ b/tests/fleet/loopback.rs
@@ -163,6 +163,7 @@
             slack: 10.0,
         },
         excess: Excess::default(),
+        memory: None,
         conventions: HttpConventions {
             opaque_keys: true,
             ..HttpConventions::default()
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,6 +2,8 @@
 
 #[path = "path/answers.rs"]
 mod answers;
+#[path = "path/bodies.rs"]
+mod bodies;
 #[path = "path/decision.rs"]
 mod decision;
 #[path = "path/fakes.rs"]
--- a/tests/path/fakes.rs
+++ b/tests/path/fakes.rs
@@ -315,7 +315,8 @@
         Self::start_all(upstreams, limits(), edit).await
     }
 
-    async fn start_all(
+    /// Starts a proxy with changed settings and limits of connections.
+    pub async fn start_all(
         upstreams: &[SocketAddr],
         limits: http::Limits,
         edit: impl FnOnce(&mut ProxySettings),
@@ -356,6 +357,7 @@
                 guards_resolved: true,
             },
             body_limit: 1 << 20,
+            body_memory: 4 << 20,
             read_timeout: Duration::from_millis(400),
             request_timeout: Duration::from_secs(3),
             conventions: HttpConventions {
