--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -67,6 +67,7 @@
 use self::crash::PossibleCrashes;
 use self::decision::Decision;
 use self::decision::Destination;
+pub use self::decision::PathRules;
 use self::meter::Meter;
 use self::queue::Queue;
 use self::request::AdmittedRequest;
@@ -118,16 +119,6 @@
     pub directory: Arc<S::Directory>,
 }
 
-/// What the proxy makes of paths besides comparing them with its routes, always as they were sent.
-#[derive(Debug, Clone, Default)]
-pub struct PathRules {
-    /// Paths with this prefix are answered by the proxy itself; `None` if all paths are routed.
-    pub own_prefix: Option<SmolStr>,
-    /// Whether a request on an open route needs a key if its path without dot segments lies on a route that needs
-    /// one: an upstream that resolves them would otherwise run it there without a key.
-    pub guards_resolved: bool,
-}
-
 /// Settings of a proxy.
 #[derive(Debug, Clone)]
 pub struct ProxySettings {
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -12,8 +12,6 @@
 use std::time::Instant;
 
 use async_std::future;
-use async_std::io::WriteExt;
-use async_std::net::TcpStream;
 use futures::FutureExt;
 use futures::future::Either;
 use futures::future::select;
@@ -41,6 +39,7 @@
 use super::Stages;
 use super::connect;
 use super::forward;
+use super::forward::Written;
 use super::notices;
 use super::request::AdmittedRequest;
 use super::response;
@@ -333,12 +332,10 @@
         true => request.forwarded_id.clone(),
         false => shared.next_id(),
     };
-    let bytes = forward::encode(request, chosen, &id, conventions);
+    let head = forward::encode(request, chosen, &id, conventions);
     timing.started = Instant::now();
     let reused = conn.reused;
-    let body = request.body.bytes();
-    let rest = if forward::joins_body(body) { &[] } else { body };
-    let written = write_request(&conn.stream, &[&bytes, rest], request).await;
+    let written = forward::write(&conn.stream, &head, request).await;
     match written {
         Written::All => {}
         Written::Nothing if reused && shared.stages.chooser.reconnects() => return ConnectionOutcome::Stale,
@@ -481,35 +478,6 @@
     ConnectionOutcome::Done(Outcome::Unknown(AttemptResult::Failed, detail.into()))
 }
 
-/// How much of a request the kernel accepted.
-enum Written {
-    All,
-    /// Some bytes, of which the upstream may have received none.
-    Partial,
-    Nothing,
-}
-
-async fn write_request(mut stream: &TcpStream, parts: &[&[u8]], request: &AdmittedRequest) -> Written {
-    let mut is_begun = false;
-    for part in parts {
-        let mut rest = *part;
-        while !rest.is_empty() {
-            match future::timeout(request.time_left(), stream.write(rest)).await {
-                Ok(Ok(count @ 1..)) => {
-                    if !is_begun {
-                        request.record_sent();
-                    }
-                    is_begun = true;
-                    rest = &rest[count..];
-                }
-                _ if is_begun => return Written::Partial,
-                _ => return Written::Nothing,
-            }
-        }
-    }
-    Written::All
-}
-
 /// The error for the caller if `result` was the last attempt of the request.
 pub(crate) fn failure(request: &AdmittedRequest, result: AttemptResult, detail: &str) -> Error {
     let code = match (result, request.idempotent) {
--- a/src/proxy/decision.rs
+++ b/src/proxy/decision.rs
@@ -1,12 +1,23 @@
 //! Where a request goes and what it may do, decided by its target as it was sent and nothing else.
 
+use smol_str::SmolStr;
 use tide::http::Method;
 
 use crate::target::Target;
 use crate::view::Route;
 use crate::view::View;
 
-use super::PathRules;
+use super::request;
+
+/// What the proxy makes of paths besides comparing them with its routes, always as they were sent.
+#[derive(Debug, Clone, Default)]
+pub struct PathRules {
+    /// Paths with this prefix are answered by the proxy itself; `None` if all paths are routed.
+    pub own_prefix: Option<SmolStr>,
+    /// Whether a request on an open route needs a key if its path without dot segments lies on a route that needs
+    /// one: an upstream that resolves them would otherwise run it there without a key.
+    pub guards_resolved: bool,
+}
 
 /// Where a request goes.
 pub(super) enum Destination {
@@ -37,7 +48,7 @@
         return Destination::Nowhere;
     };
     let mut route = route.clone();
-    if let Some(service) = super::request::draw_service(&route.split) {
+    if let Some(service) = request::draw_service(&route.split) {
         route.service = service;
     }
     Destination::Route(Decision {
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -1,5 +1,8 @@
 //! The request as it is forwarded to an upstream.
 
+use async_std::future;
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
 use tide::http::Method;
 use tide::http::Request;
 use tide::http::headers::HeaderName;
@@ -136,6 +139,38 @@
 }
 
 /// Whether [`encode`] adds the body to the head; a longer one is sent from where it is held.
-pub(crate) fn joins_body(body: &[u8]) -> bool {
+fn joins_body(body: &[u8]) -> bool {
     body.len() <= MAX_JOINED_BYTES
 }
+
+/// How much of a request the kernel accepted.
+pub(super) enum Written {
+    All,
+    /// Some bytes, of which the upstream may have received none.
+    Partial,
+    Nothing,
+}
+
+/// Writes an encoded head, and the body if it isn't part of it.
+pub(super) async fn write(mut stream: &TcpStream, head: &[u8], request: &AdmittedRequest) -> Written {
+    let body = request.body.bytes();
+    let rest = if joins_body(body) { &[] } else { body };
+    let mut is_begun = false;
+    for part in [head, rest] {
+        let mut rest = part;
+        while !rest.is_empty() {
+            match future::timeout(request.time_left(), stream.write(rest)).await {
+                Ok(Ok(count @ 1..)) => {
+                    if !is_begun {
+                        request.record_sent();
+                    }
+                    is_begun = true;
+                    rest = &rest[count..];
+                }
+                _ if is_begun => return Written::Partial,
+                _ => return Written::Nothing,
+            }
+        }
+    }
+    Written::All
+}
