Stall the leader's disk in the test that says so

What was seen: failpoints::a_leader_whose_disk_stalls_is_none_when_another_leads failed once in a run of a few test programs ("no other replica was elected in 2s"), and in 3 of 24 runs three at a time beside other load.

Cause: the test began when a majority had the first entry. The third replica may still have had to sync it, and then took the one stall in place of the leader.

--- a/tests/failpoints.rs
+++ b/tests/failpoints.rs
@@ -218,11 +218,16 @@
         (0..vms.len()).filter(leads).collect()
     };
     wait_for("a leader", || leaders().len() == 1).await;
+    // A follower that still has to sync the first entry would stall in place of the leader.
+    wait_for("equal states", || vms.iter().all(|vm| applied(vm) == ["a"])).await;
     let stalled = leaders()[0];
     fail::cfg("replication::before_sync", "1*sleep(2000)").unwrap();
     let started = Instant::now();
     let replication = vms[stalled].replication.clone();
-    let proposal = task::spawn(async move { replication.propose(b"b".to_vec()).await });
+    let proposal = task::spawn(async move {
+        let proposed = replication.propose(b"b".to_vec()).await;
+        (proposed, started.elapsed())
+    });
     let mut next = None;
     while started.elapsed() < STALL {
         let current = leaders();
@@ -233,8 +238,11 @@
         next = next.or(current.first().copied().filter(|n| *n != stalled));
         task::sleep(Duration::from_millis(2)).await;
     }
-    assert!(next.is_some(), "no other replica was elected in {STALL:?}");
-    let _ = proposal.await;
+    let proposed = proposal.await;
+    assert!(
+        next.is_some(),
+        "no other replica was elected in {STALL:?}; proposed: {proposed:?}"
+    );
     for vm in vms {
         vm.stop().await;
     }
