Free the memory in the test that waits for it

Cause: its stand-in reads requests byte by byte, 256 KiB in over 300 ms at that load besides the 200 ms that it waits, so the bodies before it held their memory for longer than a request may wait for it.

Now the test holds the memory itself and frees it after 100 ms; the body that waits must be served and must not be sent before.

--- a/tests/path/bodies.rs
+++ b/tests/path/bodies.rs
@@ -1,5 +1,6 @@
 //! Bodies of requests: the memory that they take together, and their way to the upstream.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::io::WriteExt;
@@ -23,8 +24,10 @@
 use crate::script::Step::Wait;
 
 /// Memory for bodies, and the size of one, of which three fit.
-const MEMORY: usize = 900 << 10;
-const LARGE: usize = 256 << 10;
+const MEMORY: usize = 90 << 10;
+const LARGE: usize = 25 << 10;
+/// A body that takes more than all of the memory.
+const LARGEST: usize = 300 << 10;
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
 async fn entry(upstream: &Script) -> Entry {
@@ -77,7 +80,7 @@
 async fn a_body_of_the_largest_size_is_served_alone() {
     let script = Script::start(&[&[Answer(OK)]]).await;
     let entry = entry(&script).await;
-    let largest = "y".repeat(1 << 20);
+    let largest = "y".repeat(LARGEST);
     for bytes in [post(&largest), post_chunked(&largest)] {
         let answer = entry.send(&bytes).await;
         assert_eq!(status(&answer), 200, "{answer}");
@@ -88,11 +91,30 @@
 /// Guards against a body that is refused although memory becomes free soon.
 #[async_std::test]
 async fn a_body_waits_for_memory_for_a_short_time() {
-    let script = Script::start(&[&[Wait(200), Answer(OK)]]).await;
-    let entry = entry(&script).await;
-    let large = post(&"x".repeat(LARGE));
-    let answers = join_all((0..5).map(|_| entry.send(&large))).await;
-    assert!(answers.iter().all(|a| status(a) == 200), "{answers:?}");
+    let script = Script::start(&[&[Answer(OK)]]).await;
+    let entry = Arc::new(entry(&script).await);
+    let holder = hold_memory(&entry).await;
+    let waiting = task::spawn({
+        let entry = Arc::clone(&entry);
+        async move { entry.send(post(&"x".repeat(LARGE))).await }
+    });
+    task::sleep(Duration::from_millis(100)).await;
+    assert_eq!(script.requests(), 0);
+    drop(holder);
+    let answer = waiting.await;
+    assert_eq!(status(&answer), 200, "{answer}");
+}
+
+/// Sends the head of a request whose body takes most of the memory, and none of the body.
+async fn hold_memory(entry: &Entry) -> TcpStream {
+    let headers = format!("content-length: {}\r\n", MEMORY - LARGE / 2);
+    let mut stream = TcpStream::connect(entry.server.address()).await.unwrap();
+    stream
+        .write_all(request("POST", "/forecast", &headers).as_bytes())
+        .await
+        .unwrap();
+    task::sleep(Duration::from_millis(50)).await;
+    stream
 }
 
 /// Guards against memory that a caller holds without sending: it is free again when the body is late.
@@ -100,12 +122,7 @@
 async fn a_body_that_does_not_come_frees_its_memory() {
     let script = Script::start(&[&[Answer(OK)]]).await;
     let entry = Entry::start_edited(&[script.address], |settings| settings.body_memory = MEMORY).await;
-    let headers = format!("content-length: {}\r\n", 800 << 10);
-    let mut slow = TcpStream::connect(entry.server.address()).await.unwrap();
-    slow.write_all(request("POST", "/forecast", &headers).as_bytes())
-        .await
-        .unwrap();
-    task::sleep(Duration::from_millis(50)).await;
+    let mut slow = hold_memory(&entry).await;
     let large = post(&"x".repeat(LARGE));
     assert_eq!(outcome(&entry.send(&large).await).1, Code::Overloaded.number());
     let late = read_all(&mut slow).await;
