Refuse a kept answer whose status or fields are not valid

What callers may see: the repeat of an order whose answer another entry VM has kept gets 200 where the status is 000 or has no meaning, or a field whose name holds a blank, a control byte or a line end is passed on; a name that isn't ASCII ends the task by a panic. No sound build keeps such an answer, but nothing checked what the other VM sends.

Cause: `kept_response` replaced a status that it doesn't know by 200, and `HeaderName` and `HeaderValue` accept any ASCII byte.

Change: such an answer is `OutcomeUnknown`, 502, not "not run"; the order is not sent again. The detail in the `request` line of its id says what is invalid.

Evidence: `path once::a_broken_kept_answer_is_not_passed_on` failed before on the first of its 13 answers, status 0, with "HTTP/1.1 200 OK". Sound kept answers of three statuses arrive as before.

Measured: the test passes; the answers come through the fake of the claims stage, not over a socket.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -20,6 +20,7 @@
 use crate::code::Execution;
 use crate::conventions::HttpConventions;
 use crate::error::Error;
+use crate::error::Result;
 use crate::frame::BodyReader;
 use crate::frame::BufferedStream;
 use crate::frame::Framing;
@@ -127,18 +128,43 @@
 }
 
 /// The response for an answer that was kept with a claim; a refusal if its body was too large to keep.
-pub(crate) fn kept_response(kept: KeptAnswer) -> Response {
+///
+/// # Errors
+/// `OutcomeUnknown` if its status or a header is not valid: other VMs keep answers, and nothing else checks what they
+/// send.
+pub(crate) fn kept_response(kept: KeptAnswer) -> Result<Response> {
+    let invalid = |what: &str| Error::new(Code::OutcomeUnknown, format!("the kept answer has {what}"));
+    let status = StatusCode::try_from(kept.status).ok();
+    let status = status
+        .filter(|status| !status.is_informational())
+        .ok_or_else(|| invalid(&format!("the status {}", kept.status)))?;
+    if !kept.headers.iter().all(|(name, _)| is_name(name)) {
+        return Err(invalid("an invalid header name"));
+    }
+    if !kept.headers.iter().all(|(_, value)| is_value(value)) {
+        return Err(invalid("an invalid header value"));
+    }
     let Some(body) = kept.body else {
-        return refusal(&Code::AnswerNotKept.into());
+        return Ok(refusal(&Code::AnswerNotKept.into()));
     };
-    let status = StatusCode::try_from(kept.status).unwrap_or(StatusCode::Ok);
     let mut response = Response::new(status);
     for (name, value) in &kept.headers {
         response.append_header(name.as_str(), value);
     }
     set_body(&mut response, Body::from_bytes(body));
     response.insert_header("zinnia-run", "yes");
-    response
+    Ok(response)
+}
+
+/// Whether a text is a header name (RFC 9110 section 5.1); `HeaderName` accepts any ASCII.
+fn is_name(text: &str) -> bool {
+    let is_token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+    !text.is_empty() && text.bytes().all(is_token)
+}
+
+/// Whether a text is a header value without control bytes; `HeaderValue` accepts any ASCII.
+fn is_value(text: &str) -> bool {
+    text.bytes().all(|b| b == b'\t' || (b' '..=b'~').contains(&b))
 }
 
 /// Sets the body without the default content type that `Response::set_body` adds.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -396,7 +396,7 @@
         };
         let admission = match self.stages.claims.claim(&claim_request, request.deadline).await? {
             Claimed::Run(ticket) => Admission::Run(request, Some(ticket)),
-            Claimed::Recorded(kept) => Admission::Recorded(answer::kept_response(kept)),
+            Claimed::Recorded(kept) => Admission::Recorded(answer::kept_response(kept)?),
         };
         fail::fail_point!("proxy-claim");
         Ok(admission)
--- a/tests/path/once.rs
+++ b/tests/path/once.rs
@@ -6,6 +6,8 @@
 
 use async_std::task;
 use zinnialoom::code::Code;
+use zinnialoom::stage::ClaimOutcome;
+use zinnialoom::stage::KeptAnswer;
 
 use crate::fakes::Entry;
 use crate::fakes::any_port;
@@ -173,3 +175,50 @@
     let claims = format!("{:?}", entry.fakes.claims.lock().unwrap());
     assert!(claims.contains("NotRun"), "{claims}");
 }
+
+/// Guards against an answer kept by another VM that reaches a caller although its status or its fields are not valid.
+#[async_std::test]
+async fn a_broken_kept_answer_is_not_passed_on() {
+    let kept = |status: u16, name: &str, value: &str| KeptAnswer {
+        status,
+        headers: vec![(name.into(), value.into())],
+        body: Some(b"secret".to_vec()),
+    };
+    let broken = [
+        kept(0, "x-kept", "1"),
+        kept(99, "x-kept", "1"),
+        kept(100, "x-kept", "1"),
+        kept(600, "x-kept", "1"),
+        kept(200, "x bad", "secret"),
+        kept(200, "x-bad ", "secret"),
+        kept(200, "", "secret"),
+        kept(200, "x\u{0}bad", "secret"),
+        kept(200, "x: 1\r\nx-bad", "secret"),
+        kept(200, "x\u{e9}", "secret"),
+        kept(200, "x-bad", "1\r\nx-worse: secret"),
+        kept(200, "x-bad", "secret\u{0}"),
+        kept(200, "x-bad", "secret\u{e9}"),
+    ];
+    let standin = standin().await;
+    let entry = Entry::start(&[standin.address()]).await;
+    let keep = |kept: &KeptAnswer| {
+        let outcome = ClaimOutcome::Answered(kept.clone());
+        let id = ("soum".into(), "o1".into());
+        entry.fakes.claims.lock().unwrap().insert(id, Some(outcome));
+    };
+    for kept in broken {
+        keep(&kept);
+        let answer = entry.send_request("POST", "/order", ORDER).await;
+        let expected = (502, Code::OutcomeUnknown.number(), "unknown".into());
+        assert_eq!(outcome(&answer), expected, "{kept:?}: {answer}");
+        assert!(!answer.contains("secret"), "{kept:?}: {answer}");
+    }
+    for status in [200, 404, 500] {
+        keep(&kept(status, "x-kept", "a\tvalue"));
+        let answer = entry.send_request("POST", "/order", ORDER).await;
+        assert_eq!(crate::fakes::status(&answer), status, "{answer}");
+        assert_eq!(header(&answer, "x-kept"), Some("a\tvalue"), "{answer}");
+        assert!(answer.ends_with("\r\n\r\nsecret"), "{answer}");
+    }
+    assert!(standin.journal().is_empty(), "a claimed order runs again");
+}
