Cut an answer whose connection was reset while its request was still sent

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one call only. Here the write of the upload got it, and `Written::Partial` dropped it; the reads that followed found the bytes before the reset and then a plain end of the connection, which completes an answer without a length. Only uploads that the kernel doesn't take at once failed; with shorter ones the read got the reset.

Change: the connection keeps the error of the write, and its end is that error, for all framings and for heads, skipped, buffered and relayed bodies, on new and reused connections. A broken pipe is not kept: the kernel reports it where the upstream had ended its side before the reset, and that answer is whole. The reason in the log now names the error.

--- a/src/frame.rs
+++ b/src/frame.rs
@@ -30,6 +30,8 @@
     bytes: Vec<u8>,
     /// Position of the first byte that was not consumed.
     start: usize,
+    /// Error of the connection that a write has returned.
+    write_error: Option<io::Error>,
 }
 
 impl BufferedStream {
@@ -39,9 +41,16 @@
             stream,
             bytes: Vec::new(),
             start: 0,
+            write_error: None,
         }
     }
 
+    /// Makes the end of the connection an error. The kernel reports a reset only once: after a write has returned it,
+    /// reads return the bytes that arrived before it and then a normal end.
+    pub(crate) fn set_write_error(&mut self, error: io::Error) {
+        self.write_error = Some(error);
+    }
+
     /// Bytes that were read and not consumed.
     pub(crate) fn data(&self) -> &[u8] {
         &self.bytes[self.start..]
@@ -61,12 +70,24 @@
     pub(crate) fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         // On the stack, so that a connection that waits for bytes holds no space for them.
         let mut part = [0; MAX_FILL_BYTES];
-        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let count = ready!(self.poll_read(cx, &mut part))?;
         self.bytes.drain(..self.start);
         self.start = 0;
         self.bytes.extend_from_slice(&part[..count]);
         Poll::Ready(Ok(count))
     }
+
+    /// Reads from the socket, past the buffer; 0 is the end of the connection.
+    fn poll_read(&mut self, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, out))?;
+        match &self.write_error {
+            Some(error) if count == 0 => {
+                let error = io::Error::new(io::ErrorKind::ConnectionReset, error.to_string());
+                Poll::Ready(Err(error))
+            }
+            _ => Poll::Ready(Ok(count)),
+        }
+    }
 }
 
 /// How the length of a message body is determined (RFC 9112 section 6).
@@ -255,7 +276,7 @@
                     if !self.conn.data().is_empty() {
                         return Poll::Ready(Ok(self.copy_buffered(out, u64::MAX)));
                     }
-                    let count = ready!(Pin::new(&mut self.conn.stream).poll_read(cx, out))?;
+                    let count = ready!(self.conn.poll_read(cx, out))?;
                     if count == 0 {
                         self.state = State::Done;
                     }
@@ -281,7 +302,7 @@
             return Poll::Ready(Ok(self.copy_buffered(out, left)));
         }
         let max = usize::try_from(left).map_or(out.len(), |left| out.len().min(left));
-        let count = ready!(Pin::new(&mut self.conn.stream).poll_read(cx, &mut out[..max]))?;
+        let count = ready!(self.conn.poll_read(cx, &mut out[..max]))?;
         if count == 0 {
             return Poll::Ready(Err(truncated()));
         }
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -344,10 +344,14 @@
             return ConnectionOutcome::Done(Outcome::NotSent(AttemptResult::Refused, detail));
         }
         // An upstream may answer and close the connection before it has read the whole body.
-        Written::Partial => {}
+        Written::Partial(_) => {}
     }
     fail::fail_point!("proxy-sent");
+    let all_sent = matches!(written, Written::All);
     let mut buffered = BufferedStream::new(conn.stream.clone());
+    if let Written::Partial(Some(error)) = written {
+        buffered.set_write_error(error);
+    }
     let silent_at = reused.then(|| timing.started + shared.stages.chooser.reuse_timeout(&request.route.id));
     let arrived = first_byte(
         shared,
@@ -387,7 +391,7 @@
             return invalid("a success without the mark of an upstream");
         }
         // The upstream may still be waiting for the rest of the request body.
-        head.close |= !matches!(written, Written::All);
+        head.close |= !all_sent;
         timing.load = head.header("x-load").and_then(|load| load.parse().ok());
         let reader = BodyReader::new(buffered, head.framing);
         if head.is_not_run(conventions) {
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -1,5 +1,7 @@
 //! The request as it is forwarded to an upstream.
 
+use std::io;
+
 use async_std::future;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
@@ -146,8 +148,9 @@
 /// How much of a request the kernel accepted.
 pub(super) enum Written {
     All,
-    /// Some bytes, of which the upstream may have received none.
-    Partial,
+    /// Some bytes, of which the upstream may have received none; with the error, unless the upstream has ended its
+    /// side of the connection in order.
+    Partial(Option<io::Error>),
     Nothing,
 }
 
@@ -167,10 +170,17 @@
                     is_begun = true;
                     rest = &rest[count..];
                 }
-                _ if is_begun => return Written::Partial,
+                Ok(Err(e)) if is_begun => return Written::Partial(connection_error(e)),
+                _ if is_begun => return Written::Partial(None),
                 _ => return Written::Nothing,
             }
         }
     }
     Written::All
 }
+
+/// The error of a write if it shows that the connection failed. A broken pipe doesn't: the upstream had ended its side
+/// before it stopped reading, and its answer may be whole.
+fn connection_error(error: io::Error) -> Option<io::Error> {
+    Some(error).filter(|e| e.kind() != io::ErrorKind::BrokenPipe)
+}
--- a/src/proxy/response.rs
+++ b/src/proxy/response.rs
@@ -108,8 +108,8 @@
             let body = AnswerBody::Open(reader, conn, body);
             return Outcome::Answered(Answer { head, body });
         }
-        Ok(Err(_)) => {
-            let detail = format!("the answer was cut after {} bytes of its body", body.len());
+        Ok(Err(e)) => {
+            let detail = format!("the answer was cut after {} bytes of its body: {e}", body.len());
             return Outcome::Unknown(AttemptResult::Cut, detail);
         }
         Err(_) => {
--- a/tests/broken.rs
+++ b/tests/broken.rs
@@ -14,3 +14,5 @@
 #[allow(dead_code)]
 #[path = "path/script.rs"]
 mod script;
+#[path = "support/seeds.rs"]
+mod seeds;
--- a/tests/broken/early.rs
+++ b/tests/broken/early.rs
@@ -75,6 +75,18 @@
         Self { address, requests }
     }
 
+    /// An upstream that answers each request with [`OK`].
+    pub async fn sound() -> Self {
+        Self::start(Behaviour {
+            warm: false,
+            read: 0,
+            answer: OK.into(),
+            end: End::Close,
+            pause: Duration::ZERO,
+        })
+        .await
+    }
+
     /// Requests of which the head was read.
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -185,6 +185,16 @@
             format!("{LATE}content-length: 9\r\n\r\npart"),
             "a skipped answer was cut",
         ),
+        (
+            "late-reset",
+            format!("{LATE}\r\npart"),
+            "a skipped answer was cut: Connection reset",
+        ),
+        (
+            "reset",
+            "HTTP/1.1 200 OK\r\n\r\npart".into(),
+            "after 4 bytes of its body: Connection reset",
+        ),
     ];
     for (name, answer, reason) in cases {
         let upstream = EarlyUpstream::start(Behaviour {
