Refuse an answer whose field name begins with LF

What callers saw: an answer "HTTP/1.1 200 OK, CR LF, LF, x-bad: 1 ..." arrived as a 200 whose body was the rest of the head and then the body.

Cause: httparse takes a bare LF for the end of a line, as HTTP allows, so a name that begins with LF was the blank line that ends the head.

Change: a head that ends with CR LF and a bare LF is refused, like other names with a control byte.

Evidence: with LF among the bytes that are tried, six tests of `broken malformed` failed on, for orders, on new and reused connections, after a refusal and for uploads. Calls between processes refused it before (`rpc_answers`, two more heads).

Measured: `broken malformed` and `rpc_answers` pass.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -218,6 +218,10 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(e) => return Err(invalid(&format!("the head of the answer is not HTTP: {e}"))),
     };
+    // A field name that begins with LF: httparse takes it for the blank line, and the rest of the head for the body.
+    if data[..used].ends_with(b"\r\n\n") {
+        return Err(invalid("the head of the answer ends with a bare LF"));
+    }
     let status = parsed.code.unwrap_or_default();
     let status = StatusCode::try_from(status)
         .map_err(|_| invalid(&format!("the answer has the unknown status {status}")))?;
