Let an upstream read half of the upload before a malformed answer again

Cause: had dropped this from `broken malformed`: all early answers came before any of the upload was read.

Change: both are tried.

--- a/tests/broken/malformed.rs
+++ b/tests/broken/malformed.rs
@@ -117,10 +117,15 @@
 }
 
 impl World {
-    async fn start(answers: &[&'static str], warm: bool, end: End) -> Self {
+    async fn start(answers: &[&'static str], warm: bool) -> Self {
+        Self::start_early(answers, warm, 0, End::Close).await
+    }
+
+    /// The broken upstream reads this much of an upload before it answers.
+    async fn start_early(answers: &[&'static str], warm: bool, read: usize, end: End) -> Self {
         let behaviour = |answer: &&str| Behaviour {
             warm,
-            read: 0,
+            read,
             answer: (*answer).into(),
             end,
             pause: Duration::ZERO,
@@ -183,7 +188,7 @@
 #[async_std::test]
 async fn an_order_never_gets_a_broken_answer() {
     let answers = all_broken();
-    let world = World::start(&answers, false, End::Close).await;
+    let world = World::start(&answers, false).await;
     for (n, bad) in answers.iter().enumerate() {
         world.broken.select(n);
         world.check_order(bad, 0).await;
@@ -194,7 +199,7 @@
 #[async_std::test]
 async fn a_repeated_request_gets_the_answer_of_a_sound_upstream() {
     let answers = all_broken();
-    let world = World::start(&answers, false, End::Close).await;
+    let world = World::start(&answers, false).await;
     for (n, bad) in answers.iter().enumerate() {
         world.broken.select(n);
         for method in ["GET", "HEAD"] {
@@ -208,7 +213,7 @@
 async fn a_broken_answer_on_a_reused_connection_is_not_passed_on() {
     let late = all_broken().into_iter().map(|bad| leak(format!("{LATE}{bad}")));
     let answers: Vec<_> = all_broken().into_iter().chain(late).collect();
-    let world = World::start(&answers, true, End::Close).await;
+    let world = World::start(&answers, true).await;
     for (n, bad) in answers.iter().enumerate() {
         world.broken.select(n);
         world.check_repeated(bad, "GET", true).await;
@@ -219,7 +224,7 @@
 #[async_std::test]
 async fn a_broken_answer_after_a_refusal_is_not_passed_on() {
     let answers = all_broken();
-    let world = World::start(&answers, false, End::Close).await;
+    let world = World::start(&answers, false).await;
     let busy = EarlyUpstream::start(Behaviour {
         warm: false,
         read: 0,
@@ -248,8 +253,12 @@
 async fn an_early_broken_answer_is_not_passed_on() {
     const UPLOAD: usize = 300_000;
     let answers = all_broken();
-    for end in [End::Reset, End::Close] {
-        let world = World::start(&answers, false, end).await;
+    for (read, end) in [
+        (0, End::Reset),
+        (UPLOAD / 2, End::Reset),
+        (UPLOAD / 2, End::Close),
+    ] {
+        let world = World::start_early(&answers, false, read, end).await;
         for (n, bad) in answers.iter().enumerate() {
             world.broken.select(n);
             world.check_order(bad, UPLOAD).await;
@@ -274,7 +283,7 @@
             }
         }
     }
-    let world = World::start(&answers, false, End::Close).await;
+    let world = World::start(&answers, false).await;
     for (n, bad) in answers.iter().enumerate() {
         world.broken.select(n);
         world.check_order(bad, 0).await;
@@ -299,7 +308,7 @@
         );
         // Some servers end all lines with LF alone.
         let forms = [answer.replace("\r\n", "\n"), answer].map(leak);
-        let world = World::start(&forms, false, End::Close).await;
+        let world = World::start(&forms, false).await;
         for (n, form) in forms.iter().enumerate() {
             world.broken.select(n);
             let (got, _) = send_reaching(&[&world.broken], 1, async || {
