Record a deregistration after a restart for the run that left

Callers: their requests went to an upstream for seconds after its deregistration had been acknowledged, until it exited.

Cause: a deregistration need not state its run. The platform's interface took the run that its control VM listed, and start 0 if it listed none, as after a restart. A record for start 0 covers no run that states its start, so that a heartbeat from before, which arrived late, listed the upstream again.

The log shows "upstream leaves: upstream=ID born=0" and then "upstream listed: upstream=ID" with its start.

Fix: a control VM without a recent report of the run records the time of the call as the latest start that leaves; the run had started by then. If a departure is recorded already, it takes the time 5 s ago instead, as the next run may start at once. It catches up with the leader first. The same holds where it lists only an older run, as on one side of a cut.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -44,7 +44,8 @@
     stamp >> COUNTER_BITS
 }
 
-fn wall_millis() -> u64 {
+/// Milliseconds since 1970 by the wall clock of this VM.
+pub fn wall_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX >> COUNTER_BITS)
 }
--- a/src/fleet/control_server.rs
+++ b/src/fleet/control_server.rs
@@ -203,22 +203,26 @@
     pub async fn announce(&self, report: Announcement) -> Result<()> {
         if report.state == AnnouncedState::Draining {
             let upstream = report.upstream.clone();
-            return self.deregister(upstream, report.born).await;
+            return self.deregister(upstream, Some(report.born)).await;
         }
         self.shared.apply_announcement(Instant::now(), report, true);
         Ok(())
     }
 
-    /// Records in the replicated log that a run of an upstream leaves.
+    /// Records in the replicated log that a run of an upstream leaves. `run_start` is its start in milliseconds since
+    /// 1970 by its clock, `None` if it doesn't state it.
     ///
     /// # Errors
     /// As for `announce`.
-    pub async fn deregister(&self, upstream: UpstreamId, run_start: u64) -> Result<()> {
+    pub async fn deregister(&self, upstream: UpstreamId, run_start: Option<u64>) -> Result<()> {
+        let run_start = match run_start {
+            Some(stated) => stated,
+            None => self.shared.unstated_start(&upstream).await?,
+        };
         self.shared.depart(upstream, run_start).await
     }
 
-    /// Start of the listed run of an upstream, in milliseconds since 1970 by its clock, for a report that
-    /// doesn't state it.
+    /// Start of the listed run of an upstream, in milliseconds since 1970 by its clock.
     pub fn run_start(&self, upstream: &UpstreamId) -> Option<u64> {
         let state = self.shared.state.lock();
         state.upstreams.get(upstream).map(|l| l.report.born)
--- a/src/fleet/control_server/receive.rs
+++ b/src/fleet/control_server/receive.rs
@@ -299,6 +299,7 @@
         if change == discovery::Change::Outdated {
             return;
         }
+        state.departed_here.remove(&report.upstream);
         if change == discovery::Change::Refreshed {
             if is_from_upstream {
                 state.pending_refreshes.insert(report.upstream);
--- a/src/fleet/control_server/state.rs
+++ b/src/fleet/control_server/state.rs
@@ -140,6 +140,8 @@
     pub(super) pending_refreshes: HashSet<UpstreamId>,
     /// Runs of upstreams whose departure is being recorded.
     pub(super) pending_departures: HashSet<(UpstreamId, u64)>,
+    /// Upstreams that were listed here until the run that was listed departed.
+    pub(super) departed_here: HashSet<UpstreamId>,
     /// Crashes of upstreams that the fleet reported, by fingerprint.
     pub(super) crashes: CrashTable,
     /// Requests and retries of the fleet in the retry window.
@@ -248,6 +250,7 @@
             pending_successes: Default::default(),
             pending_refreshes: Default::default(),
             pending_departures: Default::default(),
+            departed_here: Default::default(),
             crashes: CrashTable::new(crash_policy::CONTROL),
             usage: FleetUsage::new(Instant::now()),
             unsent_usage: Default::default(),
--- a/src/fleet/control_server/tick.rs
+++ b/src/fleet/control_server/tick.rs
@@ -61,7 +61,7 @@
             return;
         }
         state.pushed_version = view.version;
-        state.upstreams.remove_departed(&view.departed);
+        state.remove_departed(&view);
         state.apply_warmups(Instant::now(), &view);
         let State {
             upstreams,
--- a/src/fleet/discovery.rs
+++ b/src/fleet/discovery.rs
@@ -255,14 +255,17 @@
         }
     }
 
-    /// Removes the upstreams whose listed run has departed.
-    pub fn remove_departed(&mut self, departed: &[Departed]) {
+    /// Removes the upstreams whose listed run has departed, and returns their names.
+    pub fn remove_departed(&mut self, departed: &[Departed]) -> Vec<UpstreamId> {
+        let mut removed = Vec::new();
         for run in departed {
             let listed = self.all.get(&run.upstream);
             if listed.is_some_and(|l| l.report.born <= run.run_start) {
                 self.remove(&run.upstream);
+                removed.push(run.upstream.clone());
             }
         }
+        removed
     }
 
     /// Removes the upstreams without a report for [`EXPIRE_AFTER`] and returns their names.
--- a/src/view.rs
+++ b/src/view.rs
@@ -134,13 +134,13 @@
     pub version: Version,
 }
 
-/// An upstream that announced that it leaves; it gets no new requests.
+/// An upstream that announced that it leaves; its runs up to a start get no new requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departed {
     /// Name of the upstream.
     pub upstream: UpstreamId,
-    /// Start of the run that leaves, in milliseconds since 1970 by the upstream's clock; a later run
-    /// under the same name is another upstream.
+    /// Start of the run that leaves, in milliseconds since 1970 by the upstream's clock, or a later moment at which that
+    /// run was the latest; a later run under the same name is another upstream.
     #[serde(rename = "born")]
     pub run_start: u64,
     /// Version of the change that recorded it.
--- a/tests/fleet/leaving.rs
+++ b/tests/fleet/leaving.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use async_std::future;
+use async_std::task;
 use zinnialoom::fleet::discovery::Announcement;
+use zinnialoom::fleet::discovery::REPLACE_AFTER;
 use zinnialoom::fleet::link::Reader;
 use zinnialoom::fleet::message::ConfigUpdate;
 use zinnialoom::fleet::message::Frame;
@@ -77,3 +79,29 @@
     assert_eq!(process.server().run_start(&"u1".into()), Some(run_start + 1));
     process.stop().await;
 }
+
+/// Guards against a later run that stays listed after its deregistration was acknowledged by a control VM that lists
+/// only the run before.
+#[async_std::test]
+async fn a_deregistration_without_a_start_ends_the_latest_run() {
+    let folder = tempfile::tempdir().unwrap();
+    let process = control(free_address(), folder.path(), true).await;
+    let server = process.server();
+    let listed = report("u1", "a");
+    let run_start = listed.born;
+    server.announce(listed.clone()).await.unwrap();
+    task::sleep(REPLACE_AFTER).await;
+    server.deregister("u1".into(), None).await.unwrap();
+    let later = Announcement {
+        born: run_start + 1,
+        ..listed
+    };
+    // The list follows the record within a period.
+    let end = Instant::now() + LIMIT;
+    while server.run_start(&"u1".into()).is_some() && Instant::now() < end {
+        task::sleep(Duration::from_millis(10)).await;
+    }
+    server.announce(later).await.unwrap();
+    assert_eq!(server.run_start(&"u1".into()), None);
+    process.stop().await;
+}
