Accept a first configuration with the number 0

Callers: no request was served, although the operator had an acknowledgement for its first configuration, and so didn't send it again.

Cause: the number of the edition in force is 0 before the first one too, and two places compared a new number with it. One acknowledged the call as "not newer", the other would have skipped the change.

Fix: the catalog knows whether it holds an edition, and any number is newer than none. A control VM of an older build would skip the change, so revision 4 states that a build applies it, and the call gets MixedBuilds while one of a lower revision is connected.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -93,6 +93,12 @@
         self.view.routes.iter().find(|r| r.id == *id)
     }
 
+    /// Whether an edition with this number replaces the one in force, if there is one.
+    pub fn is_newer_edition(&self, number: u64) -> bool {
+        let is_first = self.edition.is_none() && self.view.edition == 0;
+        is_first || number > self.view.edition
+    }
+
     /// The last edition that replaced the records.
     pub fn edition(&self) -> Option<Arc<Edition>> {
         self.edition.clone()
--- a/src/catalog/plan.rs
+++ b/src/catalog/plan.rs
@@ -402,10 +402,10 @@
         Ok(plan)
     }
 
-    /// Replaces all customers, keys, routes and services; no effect unless the number of the edition is
-    /// higher than the current one.
+    /// Replaces all customers, keys, routes and services; no effect if the edition in force has the same or a higher
+    /// number.
     fn replace_records(&self, index: Index, edition: &Edition) -> PlanResult {
-        if edition.number <= self.view.edition {
+        if !self.is_newer_edition(edition.number) {
             return Ok(Plan::default());
         }
         edition.check()?;
--- a/src/fleet/control_server.rs
+++ b/src/fleet/control_server.rs
@@ -33,6 +33,7 @@
 use crate::fleet::link::Reader;
 use crate::fleet::message::ControlVm;
 use crate::fleet::message::Frame;
+use crate::fleet::message::ZERO_EDITION_REVISION;
 use crate::fleet::warmup::WarmupBound;
 use crate::grant::Excess;
 use crate::id::DomainName;
@@ -50,6 +51,7 @@
 mod departures;
 mod evacuations;
 mod receive;
+mod revisions;
 mod state;
 mod tick;
 mod warmup;
@@ -231,18 +233,22 @@
     /// Replaces the configuration, unless the one in force has the same or a higher number.
     ///
     /// # Errors
-    /// `BadParams` if the edition is inconsistent, the code of the fault if applying it failed, otherwise as
-    /// for `announce`.
+    /// `BadParams` if the edition is inconsistent, `MixedBuilds` if the first edition has the number 0 and a connected
+    /// control VM would not apply it, the code of the fault if applying it failed, otherwise as for `announce`.
     pub async fn replace_edition(&self, edition: Edition) -> Result<()> {
         let number = edition.number;
         edition
             .check()
             .map_err(|fault| Error::new(Code::BadParams, fault.detail))?;
-        let held = self.shared.replication()?.read(|c| c.view().edition);
-        if held >= number {
+        let replication = self.shared.replication()?;
+        let (held, is_newer) = replication.read(|c| (c.view().edition, c.is_newer_edition(number)));
+        if !is_newer {
             info!("configuration not newer: number={number} held={held}");
             return Ok(());
         }
+        if number == 0 {
+            self.shared.check_revisions(ZERO_EDITION_REVISION).await?;
+        }
         let outcome = self.shared.propose_change(Op::Replace(Arc::new(edition))).await?;
         info!(
             "configuration accepted: number={number} version={}",
--- a/src/fleet/control_server/evacuations.rs
+++ b/src/fleet/control_server/evacuations.rs
@@ -4,10 +4,7 @@
 //! behind, and an order must not be acknowledged by a state that a later order has changed.
 
 use std::sync::LazyLock;
-use std::time::Duration;
-use std::time::Instant;
 
-use async_std::task;
 use log::info;
 use log::warn;
 use prometheus::IntCounterVec;
@@ -15,21 +12,14 @@
 
 use super::ControlServer;
 use super::Shared;
-use super::call::POLL_PERIOD;
 use crate::catalog::Catalog;
 use crate::catalog::change::Op;
 use crate::catalog::change::Outcome;
 use crate::code::Code;
 use crate::error::Error;
 use crate::error::Result;
-use crate::fleet::link::HEARTBEAT_PERIOD;
 use crate::fleet::message::PLACEMENT_REVISION;
 use crate::id::DomainName;
-use crate::id::VmName;
-
-/// Time to wait for the first heartbeat of a control VM that has just connected, which states its revision: a period
-/// and the delay of a heartbeat.
-const REVISION_TIMEOUT: Duration = HEARTBEAT_PERIOD.saturating_mul(2);
 
 impl ControlServer {
     /// Orders that the upstreams of a failure domain get no requests. The order is durable on a majority of the control
@@ -98,7 +88,7 @@
 
     async fn try_order(&self, domain: &DomainName, op: Op) -> Result<Outcome> {
         self.check_domain(domain).await?;
-        self.check_revisions().await?;
+        self.check_revisions(PLACEMENT_REVISION).await?;
         let outcome = self.propose_change(op).await?;
         match &outcome.fault {
             Some(fault) => Err(Error::new(fault.code(), fault.detail.clone())),
@@ -124,33 +114,6 @@
         Err(Error::new(Code::UnknownDomain, detail))
     }
 
-    /// Checks that all connected control VMs can apply the order: one with an older build would refuse the entry of the
-    /// log that the others apply.
-    async fn check_revisions(&self) -> Result<()> {
-        let end = Instant::now() + REVISION_TIMEOUT;
-        loop {
-            let Some((vm, revision)) = self.older_control() else {
-                return Ok(());
-            };
-            if revision.is_some() || Instant::now() >= end {
-                let revision = revision.map_or("unknown".into(), |r| r.to_string());
-                let detail = format!("control VM {vm} states revision {revision}, not {PLACEMENT_REVISION}");
-                return Err(Error::new(Code::MixedBuilds, detail));
-            }
-            task::sleep(POLL_PERIOD).await;
-        }
-    }
-
-    /// A connected control VM that does not state [`PLACEMENT_REVISION`], and what it states; one that has stated
-    /// nothing yet only if there is no other.
-    fn older_control(&self) -> Option<(VmName, Option<u8>)> {
-        let state = self.state.lock();
-        let older = state.controls.iter().map(|(vm, peer)| (vm, peer.revision));
-        let older = older.filter(|(_, revision)| revision.is_none_or(|r| r < PLACEMENT_REVISION));
-        let found = older.max_by_key(|(_, revision)| revision.is_some());
-        found.map(|(vm, revision)| (vm.clone(), revision))
-    }
-
     fn is_evacuated(&self, domain: &DomainName) -> Result<bool> {
         Ok(self.replication()?.read(Catalog::view).is_evacuated(domain))
     }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -34,8 +34,11 @@
 
 /// Revision of the messages that this build understands. 1 adds [`Frame::CrashRecords`] and
 /// [`Frame::CrashTakenBack`], 2 adds [`Frame::Leaving`], 3 adds [`Frame::WarmupRequest`], [`Frame::WarmupGrant`] and the
-/// edits of evacuations, warm-up limits and homes.
-pub const REVISION: u8 = 3;
+/// edits of evacuations, warm-up limits and homes, 4 applies a first edition with the number 0.
+pub const REVISION: u8 = 4;
+
+/// First revision that applies a first edition with the number 0.
+pub const ZERO_EDITION_REVISION: u8 = 4;
 
 /// First revision that has evacuations, warm-up limits and homes.
 pub const PLACEMENT_REVISION: u8 = 3;
--- a/src/view.rs
+++ b/src/view.rs
@@ -242,7 +242,7 @@
     pub vms: BTreeMap<VmName, Vm>,
     /// The witness group.
     pub witnesses: Witnesses,
-    /// Number of the edition in force; 0 if none was applied.
+    /// Number of the edition in force; 0 also if none was applied.
     #[serde(default)]
     pub edition: u64,
     /// Limits of the edition in force.
--- a/tests/fleet/edition.rs
+++ b/tests/fleet/edition.rs
@@ -1,4 +1,6 @@
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use zinnialoom::catalog::Catalog;
 use zinnialoom::catalog::change::Change;
@@ -8,6 +10,11 @@
 use zinnialoom::catalog::delta::Edit;
 use zinnialoom::catalog::edition::CustomerKeys;
 use zinnialoom::catalog::edition::Edition;
+use zinnialoom::code::Code;
+use zinnialoom::fleet::link;
+use zinnialoom::fleet::message::ControlVm;
+use zinnialoom::fleet::message::Frame;
+use zinnialoom::fleet::message::ZERO_EDITION_REVISION;
 use zinnialoom::replication::StateMachine;
 use zinnialoom::view::Customer;
 use zinnialoom::view::Limit;
@@ -16,6 +23,13 @@
 use zinnialoom::view::Warmup;
 use zinnialoom::view::WeightedService;
 
+use crate::control_vm::control;
+use crate::ports::free_address;
+use crate::quarantine::wait_until;
+
+/// Limit for an election and a change, many times what they take.
+const LIMIT: Duration = Duration::from_secs(20);
+
 fn service(id: &str) -> ServiceRecord {
     ServiceRecord {
         id: id.into(),
@@ -104,6 +118,50 @@
     }
 }
 
+/// Guards against a first configuration with the number 0 that is acknowledged and dropped, and against other content
+/// that replaces it under the same number.
+#[async_std::test]
+async fn a_first_edition_may_have_the_number_0() {
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let process = control(address, folder.path(), true).await;
+    let server = process.server();
+    let older = Frame::Heartbeat {
+        is_fresh: true,
+        version: 0,
+        revision: ZERO_EDITION_REVISION - 1,
+    };
+    let (link, _reader) = link::connect(address).await.unwrap();
+    let (vm, domain) = ("127.0.0.1:1".into(), "a".into());
+    link.send(&Frame::Control(ControlVm { vm, domain }));
+    link.send(&older);
+    wait_until(|| server.connected_controls() == 1, "the older VM").await;
+    let refused = server.replace_edition(edition(0)).await.unwrap_err();
+    assert_eq!(refused.code, Code::MixedBuilds);
+    assert_eq!(server.edition().await.unwrap(), None);
+    link.close();
+    wait_until(|| server.connected_controls() == 0, "its end").await;
+
+    let other = Edition {
+        source: "other".into(),
+        ..edition(0)
+    };
+    for sent in [edition(0), other] {
+        server.replace_edition(sent).await.unwrap();
+        assert_eq!(server.edition().await.unwrap().unwrap().source, "source of 0");
+    }
+    process.stop().await;
+    drop(process);
+    let process = control(address, folder.path(), false).await;
+    let end = Instant::now() + LIMIT;
+    while let Err(e) = process.server().replace_edition(edition(1)).await {
+        assert!(Instant::now() < end, "{e}");
+    }
+    let held = process.server().edition().await.unwrap().unwrap();
+    assert_eq!(held.source, "source of 1");
+    process.stop().await;
+}
+
 /// Guards against sending the whole configuration to each VM when one record changed.
 #[test]
 fn a_replacement_edits_only_what_differs() {
--- a/tests/fleet/quarantine.rs
+++ b/tests/fleet/quarantine.rs
@@ -138,7 +138,7 @@
 }
 
 /// Waits until the condition holds; panics after [`NEWS_LIMIT`].
-async fn wait_until(condition: impl Fn() -> bool, name: &str) {
+pub async fn wait_until(condition: impl Fn() -> bool, name: &str) {
     let end = Instant::now() + NEWS_LIMIT;
     while !condition() {
         assert!(Instant::now() < end, "not within {NEWS_LIMIT:?}: {name}");
