Log the tokens that an entry VM spends without a leader

Each entry VM now logs, per customer, what it spent until a leader answered again, and how long that took.

Admission by the fallback bucket is written without a branch; it decides as before (fleet fallback_bucket, unchanged).

--- a/src/fleet/control_client.rs
+++ b/src/fleet/control_client.rs
@@ -411,18 +411,7 @@
                 }
             }
             Frame::Config(update) => state.apply_config(update),
-            Frame::Grant { grant, .. } => {
-                if grant.life_us > 0 {
-                    state.granted_at = Some(now);
-                }
-                let tickets = state.token_pool.receive(now, &grant);
-                for ticket in tickets {
-                    // Sending fails if the request has timed out; it then cancels its ticket itself.
-                    let _ = state.token_waiters.remove(&ticket).map(|w| w.send(()));
-                }
-                let requests = state.token_pool.due_requests(now, &grant.customer);
-                state.send_token_requests(requests);
-            }
+            Frame::Grant { grant, .. } => state.apply_grant(now, &grant),
             Frame::Crash { fingerprint } => {
                 state.merge_crashes(now, &CrashRecord::of_crash(&fingerprint, rand::random()));
             }
--- a/src/fleet/control_client/state.rs
+++ b/src/fleet/control_client/state.rs
@@ -30,6 +30,7 @@
 use crate::fleet::upstream_selector::UpstreamSelector;
 use crate::fleet::vm_count::VmCount;
 use crate::grant::Excess;
+use crate::grant::Grant;
 use crate::grant::TokenPool;
 use crate::grant::TokenRequest;
 use crate::grant::pool::Ticket;
@@ -320,6 +321,37 @@
         }
     }
 
+    /// Applies an answer to a token request: waiting requests get its tokens.
+    pub(super) fn apply_grant(&mut self, now: Instant, grant: &Grant) {
+        if grant.life_us > 0 {
+            self.log_fallback(now, &grant.customer);
+            self.granted_at = Some(now);
+        }
+        for ticket in self.token_pool.receive(now, grant) {
+            // Sending fails if the request has timed out; it then cancels its ticket itself.
+            let _ = self.token_waiters.remove(&ticket).map(|w| w.send(()));
+        }
+        let requests = self.token_pool.due_requests(now, &grant.customer);
+        self.send_token_requests(requests);
+    }
+
+    /// Logs the tokens that this VM has spent of a customer since the leader answered last.
+    fn log_fallback(&mut self, now: Instant, customer: &CustomerId) {
+        let Some(bucket) = self.fallback_buckets.get_mut(customer) else {
+            return;
+        };
+        let tokens = bucket.take_spent();
+        if tokens == 0 {
+            return;
+        }
+        let age = self.granted_at.map(|at| now.saturating_duration_since(at));
+        info!(
+            "tokens spent without a leader: customer={customer} tokens={tokens} leader_age_ms={} vms={}",
+            age.unwrap_or_default().as_millis(),
+            self.vm_count.get(now)
+        );
+    }
+
     /// Whether no control VM currently grants tokens of the customer.
     pub(super) fn is_unowned(&self, now: Instant, customer: &Customer) -> bool {
         self.link.is_none() || self.token_pool.is_unowned(now, &customer.id)
--- a/src/fleet/fallback_bucket.rs
+++ b/src/fleet/fallback_bucket.rs
@@ -50,6 +50,8 @@
     level: f64,
     /// When the level was computed.
     at: Instant,
+    /// Requests admitted since [`Self::take_spent`] was called last.
+    spent: u32,
 }
 
 impl FallbackBucket {
@@ -58,9 +60,15 @@
         Self {
             level: share.initial,
             at: refill_start,
+            spent: 0,
         }
     }
 
+    /// Number of requests that were admitted since the last call.
+    pub fn take_spent(&mut self) -> u32 {
+        std::mem::take(&mut self.spent)
+    }
+
     /// Whether a request is admitted; `draw` is a random number from 0 to less than 1. The bucket refills from
     /// `refill_start`, the last grant of a leader, on.
     pub fn spend(&mut self, now: Instant, share: &FallbackShare, refill_start: Instant, draw: f64) -> bool {
@@ -71,10 +79,9 @@
         let refill = now.saturating_duration_since(since).as_secs_f64() * share.rate;
         self.level = (self.level + refill).min(share.capacity);
         self.at = now;
-        if self.level >= 1.0 {
-            self.level -= 1.0;
-            return true;
-        }
-        draw < std::mem::take(&mut self.level)
+        let is_admitted = draw < self.level;
+        self.level = (self.level - 1.0).max(0.0);
+        self.spent += u32::from(is_admitted);
+        is_admitted
     }
 }
