Record departures that are reported before the run is listed

Callers: after a restart of the control VMs, requests could go to an upstream that had told an entry VM in an answer that it leaves.

A control VM that does not list a run took it for one that had departed or been replaced, and ignored the report. Entry VMs repeat their reports when they connect, which is when a restarted control VM lists nothing.

Fix: only a report of a run that is earlier than the listed one is ignored. One that has departed is recorded already, and changes nothing.

--- a/src/fleet/control_server/departures.rs
+++ b/src/fleet/control_server/departures.rs
@@ -96,11 +96,11 @@
         let run = (upstream, run_start);
         {
             let mut state = self.state.lock();
+            // A VM that has restarted may not list the run yet.
             let listed = state.upstreams.get(&run.0).map(|l| l.report.born);
-            if listed != Some(run_start) {
-                // It has departed, or a later run has taken its place.
+            if listed.is_some_and(|start| start > run_start) {
                 info!(
-                    "departure ignored: upstream={} born={run_start} reason=\"not listed\"",
+                    "departure ignored: upstream={} born={run_start} reason=\"a later run is listed\"",
                     run.0
                 );
                 return;
