--- a/tests/fleet/fallback_bucket.rs
+++ b/tests/fleet/fallback_bucket.rs
@@ -23,6 +23,40 @@
 /// When the demand rises, in seconds.
 const RISE: f64 = 3.1;
 
+/// When the core is cut in halves, when the lease of its leader ends, and when the next leader grants, in seconds.
+const HALVED: f64 = 1.0;
+const LEASE_END: f64 = 1.45;
+const NEXT_LEADER: f64 = 1.6;
+/// Part of the excess with which the buckets of the next leader start, and the time until all VMs have found it.
+const CREDIT: f64 = 0.4;
+const REACHED: f64 = 3.0;
+
+/// The bucket of a leader, with offsets in seconds.
+struct LeaderBucket {
+    limit: Limit,
+    level: f64,
+    updated: f64,
+}
+
+impl LeaderBucket {
+    fn full(limit: Limit) -> Self {
+        Self {
+            limit,
+            level: f64::from(limit.burst),
+            updated: 0.0,
+        }
+    }
+
+    fn take(&mut self, now: f64) -> bool {
+        let refill = (now - self.updated) * f64::from(self.limit.rate);
+        self.level = (self.level + refill).min(f64::from(self.limit.burst));
+        self.updated = now;
+        let is_granted = self.level >= 1.0;
+        self.level -= f64::from(u8::from(is_granted));
+        is_granted
+    }
+}
+
 /// Offsets of the requests that were admitted in 12 s, of `demand` requests a second at random VMs, before and
 /// after the rise, and the number of requests during the cut.
 fn admitted(limit: Limit, vms: usize, demand: (f64, f64), seed: u64) -> (Vec<f64>, usize) {
@@ -32,7 +66,7 @@
     let at = |s: f64| start + Duration::from_secs_f64(s);
     let mut buckets: Vec<Option<FallbackBucket>> = vec![None; vms];
     // The leader's bucket refills while it is cut off, as it still leads.
-    let (mut level, mut updated) = (f64::from(limit.burst), 0.0);
+    let mut leader = LeaderBucket::full(limit);
     let (mut offsets, mut asked_in_cut, mut now) = (Vec::new(), 0, 0.0);
     while now < 12.0 {
         let demand = if now < RISE { demand.0 } else { demand.1 };
@@ -43,11 +77,7 @@
                 buckets[rng.random_range(0..vms)].get_or_insert(FallbackBucket::new(&share, at(CUT.0)));
             bucket.spend(at(now), &share, at(CUT.0), rng.random())
         } else {
-            level = (level + (now - updated) * f64::from(limit.rate)).min(f64::from(limit.burst));
-            updated = now;
-            let is_granted = level >= 1.0;
-            level -= f64::from(u8::from(is_granted));
-            is_granted
+            leader.take(now)
         };
         if is_admitted {
             offsets.push(now);
@@ -74,14 +104,6 @@
     }
 }
 
-/// When the core is cut in halves, when the lease of its leader ends, and when the next leader grants, in seconds.
-const HALVED: f64 = 1.0;
-const LEASE_END: f64 = 1.45;
-const NEXT_LEADER: f64 = 1.6;
-/// Part of the excess with which the buckets of the next leader start, and the time until all VMs have found it.
-const CREDIT: f64 = 0.4;
-const REACHED: f64 = 3.0;
-
 /// Offsets of the requests that were admitted in 7 s of a demand of eight times the rate, while the leader changes. One
 /// half of the VMs is cut off from the leader first; of the others, each finds the next one at another time.
 fn admitted_by_two_leaders(limit: Limit, vms: usize, seed: u64) -> Vec<f64> {
@@ -89,17 +111,17 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let share = FallbackShare::new(limit, &EXCESS, vms);
     let at = |s: f64| start + Duration::from_secs_f64(s);
-    let (rate, burst) = (f64::from(limit.rate), f64::from(limit.burst));
+    let rate = f64::from(limit.rate);
     let reached: Vec<f64> = (0..vms).map(|_| rng.random_range(NEXT_LEADER..REACHED)).collect();
     let mut buckets: Vec<Option<FallbackBucket>> = vec![None; vms];
-    let (mut level, mut updated) = (burst, 0.0);
+    let mut leader = LeaderBucket::full(limit);
     let (mut offsets, mut now) = (Vec::new(), HALVED - 0.3);
     let mut has_next = false;
     while now < 7.0 {
         now += -(1.0 - rng.random::<f64>()).ln() / (rate * 8.0);
         if !has_next && now >= NEXT_LEADER {
             has_next = true;
-            (level, updated) = (EXCESS.allowed(limit) * CREDIT, NEXT_LEADER);
+            (leader.level, leader.updated) = (EXCESS.allowed(limit) * CREDIT, NEXT_LEADER);
         }
         let vm = rng.random_range(0..vms);
         // VMs with an even number are on the side of the first leader, the others find the next one at once.
@@ -111,11 +133,7 @@
             let bucket = buckets[vm].get_or_insert(FallbackBucket::new(&share, at(last_grant)));
             bucket.spend(at(now), &share, at(last_grant), rng.random())
         } else {
-            level = (level + (now - updated) * rate).min(burst);
-            updated = now;
-            let is_granted = level >= 1.0;
-            level -= f64::from(u8::from(is_granted));
-            is_granted
+            leader.take(now)
         };
         if is_admitted {
             offsets.push(now);
