--- a/src/fleet/control_server/departures.rs
+++ b/src/fleet/control_server/departures.rs
@@ -28,10 +28,10 @@
 const MAX_CLOCK_DIFFERENCE_MS: u64 = 5_000;
 
 impl Shared {
-    /// The start up to which the runs of an upstream leave by a deregistration that doesn't state its run.
+    /// The latest start of the runs that leave by a deregistration that doesn't state its run.
     ///
-    /// A control VM that has restarted, or was cut off from the upstream, doesn't list the run. It has started before
-    /// now by the wall clock; a later run starts only after this one has ended.
+    /// A control VM that has restarted, or was cut off from the upstream, doesn't list that run. It started before now,
+    /// and the next one starts only after it has ended.
     ///
     /// # Errors
     /// `NotLeader`, `NoQuorum` or `Timeout` if the run is not listed and no leader confirms that none has departed.
@@ -42,7 +42,7 @@
             if let Some(run) = listed.filter(|l| l.received.elapsed() < REPLACE_AFTER) {
                 return Ok(run.report.born);
             }
-            // The deregistration repeats what the run has reported already.
+            // The run that was listed here has departed; its record covers the start 0.
             if listed.is_none() && state.departed_here.contains(upstream) {
                 return Ok(0);
             }
