--- a/review/lib3/starve.py
+++ b/review/lib3/starve.py
@@ -50,7 +50,7 @@
     system.start()
     routes = [
         fleet.route("contrib-confirm", "/contrib/", "forecast", "unsafe", TIMEOUT_S, 0.5),
-        fleet.route("ceremony-upload", "/upload/", "intake", "upload", 20.0, 5.0),
+        fleet.route("document-send", "/upload/", "intake", "unsafe", 20.0, 5.0),
     ]
     operator = fleet.Operator(system, routes, [fleet.service("forecast"), fleet.service("intake")])
     operator.put()
